Outcome after a second wait, unique hand-overs, hang-ups, hopeless work

(2) A hand-over's late news could be taken for a later one of the same request: ids were the request's. (3) A caller that hung up while queued was served: the library stops reading paused connections, and keeps them after the end of input. (6) With all local targets dead, started requests waited for them instead of the other data centre. Conclusion: outcome is now computed from what happened, not remembered.

--- a/include/coltsfootshed/Admission/ServiceQueue.h
+++ b/include/coltsfootshed/Admission/ServiceQueue.h
@@ -38,8 +38,9 @@
   /// Sheds on arrival a request whose expected wait passes its deadline, or
   /// one that finds the queue full of work at least as entitled.
   Admitted Offer(const QueuedRequest& aRequest);
-  /// The next request that may start; it counts as running.
-  std::optional<QueuedRequest> TakeNext();
+  /// The next request that may start; it counts as running. Requests that
+  /// could not end before their deadline are dropped into aDropped.
+  std::optional<QueuedRequest> TakeNext(std::vector<RequestId>& aDropped);
   /// The waiting request that would start next, to be handed over instead; it
   /// does not count as running.
   std::optional<QueuedRequest> TakeForOverflow();
@@ -49,8 +50,6 @@
   void PutBack(const QueuedRequest& aRequest);
   /// Drops a waiting request. Returns false if it does not wait.
   bool Remove(RequestId aId);
-  /// Drops and returns the waiting requests whose deadline has passed.
-  std::vector<RequestId> TakeExpired();
 
   std::int64_t Waiting() const;
   std::int64_t Running() const;
@@ -65,6 +64,7 @@
   std::int64_t Entitled(std::size_t aClass) const;
   std::int64_t Allowed(std::size_t aClass) const;
   bool MayStart(std::size_t aClass) const;
+  bool IsHopeless(const QueuedRequest& aRequest) const;
   std::optional<std::size_t> PickClass() const;
   std::int64_t QueueShare(std::size_t aClass) const;
   std::optional<std::size_t> VictimClass(std::size_t aArriving) const;
--- a/include/coltsfootshed/Admission/TenantQueue.h
+++ b/include/coltsfootshed/Admission/TenantQueue.h
@@ -43,7 +43,6 @@
   /// that tenant is aExcept.
   std::optional<RequestId> EvictFromHeaviest(std::string_view aExcept);
   bool Remove(RequestId aId);
-  void TakeExpired(Millis aNow, std::vector<RequestId>& aOut);
   std::int64_t Size() const { return size_; }
 
 private:
--- a/include/coltsfootshed/Http/Server.h
+++ b/include/coltsfootshed/Http/Server.h
@@ -7,6 +7,7 @@
 #include "coltsfootshed/Http/Message.h"
 #include "coltsfootshed/Settings/Settings.h"
 #include "coltsfootshed/Support/Error.h"
+#include "coltsfootshed/Support/Timer.h"
 
 #include <cstdint>
 #include <functional>
@@ -105,12 +106,16 @@
   void Receive(evhtp_request* aRequest);
   void Closed(evhtp_connection* aConnection);
   void SendRawAndClose(evhtp_connection* aConnection, std::string_view aBytes);
+  void WatchForHangUps();
+  void HungUp(evhtp_connection* aConnection);
   ConnectionState& StateOf(evhtp_request* aRequest);
 
   event_base* base_;
   ServerLimits limits_;
   Handler handler_;
   evhtp* server_;
+  Timer hangUpTimer_;
+  std::vector<evhtp_connection*> hungUp_; ///< to be freed
   bool closing_ = false;
   bool listening_ = false;
   std::size_t open_ = 0;
--- a/include/coltsfootshed/Requests/Dispatcher.h
+++ b/include/coltsfootshed/Requests/Dispatcher.h
@@ -74,6 +74,9 @@
   void PumpRetries(ServiceLane& aLane);
   void PumpQueue(ServiceLane& aLane);
   void PumpOverflow(ServiceLane& aLane);
+  std::optional<std::string> FindHandoverNode(
+    const ServiceLane& aLane,
+    std::set<std::string, std::less<>> aTried) const;
   bool StartAttempt(ActiveRequest& aRequest);
   void StartHandover(ActiveRequest& aRequest, const std::string& aNode);
   void OnAttemptEnd(RequestId aRequest,
@@ -91,6 +94,8 @@
   void FinishUnanswered(ActiveRequest& aRequest);
   void Finish(ActiveRequest& aRequest, RequestAnswer aAnswer);
   void ReleaseAttempts(ActiveRequest& aRequest);
+  void ReleaseSlot(ActiveRequest& aRequest);
+  void ForgetHandover(ActiveRequest& aRequest);
   void ProbeSuspected(ServiceLane& aLane);
 
   event_base* base_;
@@ -105,7 +110,10 @@
   std::map<std::string, std::unique_ptr<ServiceLane>, std::less<>> lanes_;
   Requests requests_;
   RequestId lastRequest_ = 0;
+  HandoverId lastHandover_ = 0;
+  std::unordered_map<HandoverId, RequestId> handovers_; ///< under way
   std::map<std::string, std::int64_t, std::less<>> handoversByNode_;
+  std::map<std::string, Millis, std::less<>> pausedNodes_;
   // Timers cannot be deleted from within their callbacks.
   std::vector<std::unique_ptr<Timer>> deadTimers_;
   Timer sweep_;
--- a/include/coltsfootshed/Routing/RequestFlow.h
+++ b/include/coltsfootshed/Routing/RequestFlow.h
@@ -26,7 +26,7 @@
 {
   Wait,  ///< for the attempt that is under way
   Retry, ///< make another attempt elsewhere
-  Finish ///< tell the caller Outcome()
+  Finish ///< tell the caller Result()
 };
 
 /// One request's course from its first attempt to its outcome. A
@@ -53,12 +53,11 @@
   /// have left this process.
   FlowStep OnDeadline(bool aMaySent);
 
-  /// Valid once a step was Finish.
-  Outcome Result() const { return outcome_; }
+  /// What the caller must be told if the request ended now.
+  Outcome Result() const;
   int Attempts() const { return attempts_; }
 
 private:
-  FlowStep FinishUnanswered();
   FlowStep RetryOrFinish(bool aCostsTarget);
 
   bool idempotent_;
@@ -66,7 +65,7 @@
   RetryBudget& budget_;
   int attempts_ = 0;
   bool mayHaveRun_ = false;
-  Outcome outcome_ = Outcome::NotRun;
+  bool answered_ = false;
 };
 
 } // namespace coltsfootshed
--- a/lib/Admission/ServiceQueue.cpp
+++ b/lib/Admission/ServiceQueue.cpp
@@ -129,16 +129,28 @@
   return queues_.at(aClass).Pop();
 }
 
-std::optional<QueuedRequest> ServiceQueue::TakeNext()
+bool ServiceQueue::IsHopeless(const QueuedRequest& aRequest) const
 {
-  if (Running() >= slots_) {
-    return std::nullopt;
-  }
-  std::optional<std::size_t> next = PickClass();
-  if (!next) {
-    return std::nullopt;
+  Millis usual(static_cast<std::int64_t>(averageTime_));
+  return clock_.Now() + usual >= aRequest.deadline_;
+}
+
+std::optional<QueuedRequest> ServiceQueue::TakeNext(
+  std::vector<RequestId>& aDropped)
+{
+  while (Running() < slots_) {
+    std::optional<std::size_t> next = PickClass();
+    if (!next) {
+      return std::nullopt;
+    }
+    QueuedRequest request = Start(*next);
+    if (!IsHopeless(request)) {
+      return request;
+    }
+    use_.at(*next).End();
+    aDropped.push_back(request.id_);
   }
-  return Start(*next);
+  return std::nullopt;
 }
 
 std::optional<QueuedRequest> ServiceQueue::TakeForOverflow()
@@ -189,15 +201,6 @@
   });
 }
 
-std::vector<RequestId> ServiceQueue::TakeExpired()
-{
-  std::vector<RequestId> out;
-  for (TenantQueue& queue : queues_) {
-    queue.TakeExpired(clock_.Now(), out);
-  }
-  return out;
-}
-
 std::int64_t ServiceQueue::Waiting() const
 {
   std::int64_t total = 0;
--- a/lib/Admission/TenantQueue.cpp
+++ b/lib/Admission/TenantQueue.cpp
@@ -91,20 +91,4 @@
   return false;
 }
 
-void TenantQueue::TakeExpired(Millis aNow, std::vector<RequestId>& aOut)
-{
-  for (auto line = lines_.begin(); line != lines_.end();) {
-    std::size_t removed =
-      std::erase_if(line->second.requests_, [&](const QueuedRequest& aItem) {
-        if (aItem.deadline_ > aNow) {
-          return false;
-        }
-        aOut.push_back(aItem.id_);
-        return true;
-      });
-    size_ -= static_cast<std::int64_t>(removed);
-    line = EraseIfEmpty(line);
-  }
-}
-
 } // namespace coltsfootshed
--- a/lib/Http/Server.cpp
+++ b/lib/Http/Server.cpp
@@ -14,6 +14,10 @@
 /// Bytes of names and values in one header section.
 static constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
 static constexpr int kBacklog = 1024;
+/// How often waiting callers are checked for having hung up.
+static constexpr Millis kHangUpPeriod{ 50 };
+/// Bytes that a caller may send ahead of its answer.
+static constexpr std::size_t kMostInputWhileWaiting = 64 * 1024;
 
 static constexpr std::array<std::pair<htp_method, const char*>, 7> kMethods = {
   { { htp_method_GET, "GET" },
@@ -169,6 +173,19 @@
     return fits ? EVHTP_RES_OK : EVHTP_RES_ERROR;
   }
 
+  static void OnEvent(evhtp_connection_t* aConnection,
+                      short aEvents,
+                      void* aSelf)
+  {
+    // The library itself takes an end of input with this errno as a false
+    // alarm, and reads again.
+    bool end = (aEvents & BEV_EVENT_EOF) != 0 && errno != EAGAIN;
+    bool error = (aEvents & BEV_EVENT_ERROR) != 0;
+    if (end || error) {
+      Self(aSelf).HungUp(aConnection);
+    }
+  }
+
   static void OnRequest(evhtp_request_t* aRequest, void* aSelf)
   {
     Self(aSelf).Receive(aRequest);
@@ -188,7 +205,9 @@
   , limits_(aLimits)
   , handler_(std::move(aHandler))
   , server_(evhtp_new(aBase, nullptr))
+  , hangUpTimer_(aBase, [this] { WatchForHangUps(); })
 {
+  hangUpTimer_.Start(kHangUpPeriod);
   server_->flags |= EVHTP_FLAG_ENABLE_NODELAY;
   evhtp_set_max_body_size(server_, limits_.maxBody_);
   evhtp_set_gencb(server_, &ServerHooks::OnRequest, this);
@@ -236,6 +255,7 @@
   };
   set(evhtp_hook_on_header, &ServerHooks::OnField);
   set(evhtp_hook_on_headers, &ServerHooks::OnHeaders);
+  set(evhtp_hook_on_event, &ServerHooks::OnEvent);
   set(evhtp_hook_on_connection_fini, &ServerHooks::OnClosed);
   return true;
 }
@@ -245,6 +265,38 @@
   return connections_[aRequest->conn];
 }
 
+/// The library stops reading from a paused connection, and would not notice
+/// that the caller hangs up. Its parser ignores input while paused.
+void HttpServer::WatchForHangUps()
+{
+  for (evhtp_connection* connection : std::exchange(hungUp_, {})) {
+    if (connections_.contains(connection)) {
+      evhtp_connection_free(connection);
+    }
+  }
+  for (auto& [connection, state] : connections_) {
+    if (state.exchange_ != nullptr) {
+      bufferevent_setwatermark(
+        connection->bev, EV_READ, 0, kMostInputWhileWaiting);
+      bufferevent_enable(connection->bev, EV_READ);
+    }
+  }
+  hangUpTimer_.Start(kHangUpPeriod);
+}
+
+/// The library keeps a paused connection whose caller has gone, so it is freed
+/// here, but not from within its own callback.
+void HttpServer::HungUp(evhtp_connection* aConnection)
+{
+  auto found = connections_.find(aConnection);
+  if (found == connections_.end() || found->second.exchange_ == nullptr) {
+    return;
+  }
+  std::exchange(found->second.exchange_, nullptr)->Gone();
+  hungUp_.push_back(aConnection);
+  hangUpTimer_.Start(Millis(0));
+}
+
 bool HttpServer::ReadField(evhtp_request* aRequest, std::size_t aBytes)
 {
   ConnectionState& state = StateOf(aRequest);
@@ -285,9 +337,6 @@
 void HttpServer::Receive(evhtp_request* aRequest)
 {
   evhtp_request_pause(aRequest);
-  // The library stops reading from a paused connection, and would not notice
-  // that the caller hangs up. Its parser ignores input while paused.
-  bufferevent_enable(aRequest->conn->bev, EV_READ);
   auto exchange =
     std::make_shared<ServerExchange>(*this, aRequest, ReadRequest(aRequest));
   StateOf(aRequest).exchange_ = exchange;
--- a/lib/Requests/Dispatcher.cpp
+++ b/lib/Requests/Dispatcher.cpp
@@ -11,6 +11,8 @@
 static constexpr int kMostAttempts = 4;
 /// Attempts end on their own this long after the request's deadline.
 static constexpr Millis kAttemptSlack{ 1000 };
+/// A node without a link gets no hand-overs for this long.
+static constexpr Millis kUnreachablePause{ 250 };
 
 Dispatcher::Dispatcher(event_base* aBase,
                        const Clock& aClock,
@@ -143,15 +145,23 @@
     RequestId id = aLane.retries_.front();
     aLane.retries_.pop_front();
     ActiveRequest* request = Find(id);
-    if (request != nullptr && !StartAttempt(*request)) {
+    if (request == nullptr || StartAttempt(*request)) {
+      continue;
+    }
+    if (aLane.chooser_.UsableSlots() > 0) {
       aLane.retries_.push_back(id);
+      continue;
     }
+    // No target is left here; in the queue it can go elsewhere.
+    ReleaseSlot(*request);
+    Enqueue(*request);
   }
 }
 
 void Dispatcher::PumpQueue(ServiceLane& aLane)
 {
-  while (auto next = aLane.queue_.TakeNext()) {
+  std::vector<RequestId> dropped;
+  while (auto next = aLane.queue_.TakeNext(dropped)) {
     ActiveRequest& request = *Find(next->id_);
     request.holdsSlot_ = true;
     if (StartAttempt(request)) {
@@ -159,15 +169,17 @@
     }
     request.holdsSlot_ = false;
     aLane.queue_.PutBack(*next);
-    return;
+    break;
+  }
+  for (RequestId id : dropped) {
+    FinishUnanswered(*Find(id));
   }
 }
 
 void Dispatcher::PumpOverflow(ServiceLane& aLane)
 {
-  static const std::set<std::string, std::less<>> kNoneTried;
   while (aLane.WantsOverflow()) {
-    if (!peers_.FindSpare(aLane.Name(), handoversByNode_, kNoneTried)) {
+    if (!FindHandoverNode(aLane, {})) {
       return;
     }
     auto next = aLane.queue_.TakeForOverflow();
@@ -175,16 +187,27 @@
       return;
     }
     ActiveRequest& request = *Find(next->id_);
-    auto node =
-      peers_.FindSpare(aLane.Name(), handoversByNode_, request.tried_);
+    auto node = FindHandoverNode(aLane, request.tried_);
     if (!node) {
-      Enqueue(request);
-      return;
+      // Each node had its turn; a second turn is better than none.
+      node = FindHandoverNode(aLane, {});
     }
     StartHandover(request, *node);
   }
 }
 
+std::optional<std::string> Dispatcher::FindHandoverNode(
+  const ServiceLane& aLane,
+  std::set<std::string, std::less<>> aTried) const
+{
+  for (const auto& [node, until] : pausedNodes_) {
+    if (clock_.Now() < until) {
+      aTried.insert(node);
+    }
+  }
+  return peers_.FindSpare(aLane.Name(), handoversByNode_, aTried);
+}
+
 AttemptTarget Dispatcher::TargetOf(const ServiceLane& aLane,
                                    const std::string& aVm) const
 {
@@ -248,16 +271,16 @@
                                const std::string& aNode)
 {
   aRequest.flow_->OnAttempt();
-  aRequest.handover_ = aRequest.id_;
+  aRequest.handover_ = ++lastHandover_;
+  handovers_.emplace(aRequest.handover_, aRequest.id_);
   aRequest.handoverNode_ = aNode;
-  aRequest.tried_.insert(aNode);
   if (aRequest.started_ == Millis(0)) {
     aRequest.started_ = clock_.Now();
   }
   ++handoversByNode_[aNode];
   CheckedRequest handed = aRequest.request_;
   handed.terms_.timeLeft_ = aRequest.deadline_ - clock_.Now();
-  outlet_.HandOver(aRequest.id_, aNode, handed);
+  outlet_.HandOver(aRequest.handover_, aNode, handed);
 }
 
 static bool IsRefusal(const HttpAnswer& aAnswer)
@@ -357,37 +380,47 @@
 
 void Dispatcher::OnHandoverEnded(HandoverEnded aNews)
 {
-  ActiveRequest* request = Find(aNews.id_);
-  if (request == nullptr || request->handover_ != aNews.id_) {
+  auto found = handovers_.find(aNews.id_);
+  if (found == handovers_.end()) {
     return;
   }
-  RequestFlow& flow = *request->flow_;
-  ServiceLane& lane = *request->lane_;
-  if (aNews.end_ == HandoverEnd::Silent) {
-    if (request->request_.terms_.idempotent_) {
-      --handoversByNode_[request->handoverNode_];
-      request->handover_ = 0;
-      Proceed(*request, flow.OnBroken());
-      Pump(lane);
-    }
+  ActiveRequest& request = *Find(found->second);
+  ServiceLane& lane = *request.lane_;
+  bool silent = aNews.end_ == HandoverEnd::Silent;
+  if (silent && !request.request_.terms_.idempotent_) {
     return;
   }
-  --handoversByNode_[request->handoverNode_];
-  request->handover_ = 0;
+  std::string node = request.handoverNode_;
+  ForgetHandover(request);
+  RequestFlow& flow = *request.flow_;
   Outcome outcome = aNews.answer_.outcome_;
   if (aNews.end_ == HandoverEnd::NotSent) {
-    Proceed(*request, flow.OnNotSent());
-  } else if (aNews.end_ == HandoverEnd::Broken || outcome == Outcome::Unknown) {
-    Proceed(*request, flow.OnBroken());
+    pausedNodes_[node] = clock_.Now() + kUnreachablePause;
+    Proceed(request, flow.OnNotSent());
+  } else if (aNews.end_ != HandoverEnd::Answered ||
+             outcome == Outcome::Unknown) {
+    request.tried_.insert(node);
+    Proceed(request, flow.OnBroken());
   } else if (outcome == Outcome::NotRun) {
-    Proceed(*request, flow.OnRefused());
+    request.tried_.insert(node);
+    Proceed(request, flow.OnRefused());
   } else {
     flow.OnAnswered();
-    Finish(*request, std::move(aNews.answer_));
+    Finish(request, std::move(aNews.answer_));
   }
   Pump(lane);
 }
 
+void Dispatcher::ForgetHandover(ActiveRequest& aRequest)
+{
+  if (aRequest.handover_ == 0) {
+    return;
+  }
+  --handoversByNode_[aRequest.handoverNode_];
+  handovers_.erase(aRequest.handover_);
+  aRequest.handover_ = 0;
+}
+
 void Dispatcher::OnDeadline(RequestId aRequest)
 {
   ActiveRequest& request = *Find(aRequest);
@@ -445,9 +478,15 @@
     aRequest.lane_->chooser_.Release(attempt.target_);
   }
   aRequest.attempts_.clear();
-  if (aRequest.handover_ != 0) {
-    --handoversByNode_[aRequest.handoverNode_];
-  }
+  ForgetHandover(aRequest);
+}
+
+void Dispatcher::ReleaseSlot(ActiveRequest& aRequest)
+{
+  Millis withTarget = clock_.Now() - aRequest.started_;
+  aRequest.holdsSlot_ = false;
+  aRequest.lane_->queue_.OnFinished(aRequest.request_.terms_.class_,
+                                    withTarget);
 }
 
 void Dispatcher::Finish(ActiveRequest& aRequest, RequestAnswer aAnswer)
@@ -459,7 +498,7 @@
   Millis withTarget = started ? now - aRequest.started_ : Millis(0);
   ReleaseAttempts(aRequest);
   if (aRequest.holdsSlot_) {
-    lane.queue_.OnFinished(terms.class_, withTarget);
+    ReleaseSlot(aRequest);
   } else {
     lane.queue_.Remove(aRequest.id_);
   }
--- a/lib/Routing/RequestFlow.cpp
+++ b/lib/Routing/RequestFlow.cpp
@@ -35,20 +35,22 @@
   ++attempts_;
 }
 
-FlowStep RequestFlow::FinishUnanswered()
+Outcome RequestFlow::Result() const
 {
-  outcome_ = mayHaveRun_ ? Outcome::Unknown : Outcome::NotRun;
-  return FlowStep::Finish;
+  if (answered_) {
+    return Outcome::Answered;
+  }
+  return mayHaveRun_ ? Outcome::Unknown : Outcome::NotRun;
 }
 
 FlowStep RequestFlow::RetryOrFinish(bool aCostsTarget)
 {
   bool safe = idempotent_ || !mayHaveRun_;
   if (!safe || attempts_ >= maxAttempts_) {
-    return FinishUnanswered();
+    return FlowStep::Finish;
   }
   if (aCostsTarget && !budget_.TryTake()) {
-    return FinishUnanswered();
+    return FlowStep::Finish;
   }
   return FlowStep::Retry;
 }
@@ -82,14 +84,14 @@
 FlowStep RequestFlow::OnAnswered()
 {
   budget_.OnSuccess();
-  outcome_ = Outcome::Answered;
+  answered_ = true;
   return FlowStep::Finish;
 }
 
 FlowStep RequestFlow::OnDeadline(bool aMaySent)
 {
   mayHaveRun_ = mayHaveRun_ || aMaySent;
-  return FinishUnanswered();
+  return FlowStep::Finish;
 }
 
 } // namespace coltsfootshed
--- a/test/e2e/failure_tests.py
+++ b/test/e2e/failure_tests.py
@@ -237,6 +237,20 @@
                  "overflow resumes")
 
 
+@test
+def all_targets_of_a_data_centre_killed(build, work):
+    """What waits for another attempt goes to the other data centre."""
+    with Site(build, work, entries="ab", targets="aabb") as site:
+        near = site.entry
+        gets = site.load("get", [near], method="GET", rate=60, ms=2500,
+                         work=100, deadline=2500)
+        wait_for(lambda: len(site.runs()) > 20, "traffic")
+        for name in ("vm-0", "vm-1"):
+            site.targets[name].process.kill()
+        report = finish(gets)
+        assert report["outcomes"] == {"answered": report["sent"]}, report
+
+
 @test
 def new_entry_in_a_platform_outage(build, work):
     """An entry VM that starts while the platform is down gets configuration
--- a/test/e2e/small_site.py
+++ b/test/e2e/small_site.py
@@ -1,6 +1,6 @@
 """A small site for end-to-end tests: two data centres, one or two services."""
 
-from cluster import Cluster, KEPT, finish, judge
+from cluster import KEPT, Cluster, finish, judge, wait_for
 
 DOCUMENT = """site = "test"
 
@@ -34,9 +34,21 @@
         first = next(iter(self.entries.values()))
         result = self.submit(first, self.document())
         assert result.returncode == 0, result.stdout + result.stderr
+        self.wait_joined()
         in_reach = sum(1 for data_centre in targets if data_centre in entries)
         self.wait_slots("orders", in_reach * 8)
 
+    def wait_joined(self):
+        """Waits until every entry VM knows the others and has the document."""
+        entries = list(self.entries.values())
+
+        def joined():
+            states = [self.status(entry) for entry in entries]
+            return all(state["version"] > 0 and
+                       len(state["requests"]["live_peers"]) ==
+                       len(entries) - 1 for state in states)
+        wait_for(joined, "all entry VMs have joined")
+
     def document(self, more=""):
         vms = ", ".join(f'"{name}"' for name in self.targets)
         return DOCUMENT.format(vms=vms, more=self.more + more)
