Dispatcher without sockets, fuzzed against an oracle; four faults it found

Cause: the decisions hung on sockets and timers, so only whole processes could test them. Change: the dispatcher takes outlets and a clock, and those who drive it report what happened. The fuzz test plays connects refused, bytes delivered, runs (also late, unheard ones), breaks, refusals, silence, leaving, hand-overs, hang-ups and time. It found: (1) a request queued twice, after a silent attempt and its later end; (2) a request that was evicted while an attempt ran was told not-run; (3) two hand-overs of one request at once, the first forgotten; (4) a crash from the news of a forgotten one. Ruled out: narrowing the oracle; each trace was a real broken promise. Five lies to the dispatcher are each caught by the oracle. Conclusion: requests wait, run or are handed over in one place at a time.

--- a/include/coltsfootshed/Requests/ActiveRequest.h
+++ b/include/coltsfootshed/Requests/ActiveRequest.h
@@ -5,8 +5,8 @@
 
 #include "coltsfootshed/Admission/TenantQueue.h"
 #include "coltsfootshed/Peers/Messages.h"
-#include "coltsfootshed/Requests/AttemptRunner.h"
 #include "coltsfootshed/Requests/Handover.h"
+#include "coltsfootshed/Requests/TargetOutlet.h"
 #include "coltsfootshed/Routing/RequestFlow.h"
 
 #include <functional>
@@ -33,11 +33,11 @@
   ServiceLane* lane_ = nullptr;
   std::unique_ptr<RequestFlow> flow_;
   std::function<void(RequestAnswer)> onAnswer_;
-  std::unique_ptr<Timer> deadlineTimer_;
   Millis arrived_{ 0 };
   Millis started_{ 0 };
   Millis deadline_{ 0 };   ///< point in time
   bool holdsSlot_ = false; ///< counts as running in its lane's queue
+  bool isWaiting_ = false; ///< for its next attempt, here or in the queue
   bool mayHandOver_ = false;
   bool overdue_ = false; ///< ended by its deadline
   std::vector<RunningAttempt> attempts_;
--- a/include/coltsfootshed/Requests/AttemptRunner.h
+++ b/include/coltsfootshed/Requests/AttemptRunner.h
@@ -4,6 +4,7 @@
 #define COLTSFOOTSHED_REQUESTS_ATTEMPTRUNNER_H
 
 #include "coltsfootshed/Http/Caller.h"
+#include "coltsfootshed/Requests/TargetOutlet.h"
 
 #include <cstdint>
 #include <functional>
@@ -13,46 +14,24 @@
 
 namespace coltsfootshed {
 
-/// Names an attempt of one AttemptRunner.
-using AttemptId = std::uint64_t;
-
-/// What an attempt reports. Either may come first; onEnd_ comes once, unless
-/// the attempt is abandoned.
-struct AttemptEvents
-{
-  std::function<void(AttemptId, CallResult)> onEnd_;
-  /// No answer within the usual time. The argument tells whether the target
-  /// answered a probe on a new connection.
-  std::function<void(bool)> onSilent_;
-};
-
-/// How to reach a target and what to expect of it.
-struct AttemptTarget
-{
-  Endpoint endpoint_;
-  std::string probePath_;
-  Millis usual_{ 0 }; ///< silence for longer causes a probe
-};
-
-class AttemptRunner
+class AttemptRunner final : public TargetOutlet
 {
 public:
   AttemptRunner(event_base* aBase, const Clock& aClock);
 
-  /// Starts an attempt that ends after aLimit at the latest. With aCareful a
-  /// pooled connection is used only if its peer answered a moment ago.
   AttemptId Start(const AttemptTarget& aTarget,
                   const HttpRequest& aRequest,
                   Millis aLimit,
                   bool aCareful,
-                  AttemptEvents aEvents);
-  void Abandon(AttemptId aAttempt);
-  /// True if a byte of the attempt may have left this process.
-  bool MayHaveSent(AttemptId aAttempt) const;
-  /// Asks whether a target answers at all.
-  void Probe(const AttemptTarget& aTarget, std::function<void(bool)> aOnEnd);
-  /// Closes the idle connections to a target.
-  void CloseIdle(const Endpoint& aTarget) { caller_.CloseIdle(aTarget); }
+                  AttemptEvents aEvents) override;
+  void Abandon(AttemptId aAttempt) override;
+  bool MayHaveSent(AttemptId aAttempt) const override;
+  void Probe(const AttemptTarget& aTarget,
+             std::function<void(bool)> aOnEnd) override;
+  void CloseIdle(const Endpoint& aTarget) override
+  {
+    caller_.CloseIdle(aTarget);
+  }
 
 private:
   struct Attempt
--- a/include/coltsfootshed/Requests/Dispatcher.h
+++ b/include/coltsfootshed/Requests/Dispatcher.h
@@ -1,6 +1,7 @@
 /// \file
 /// Takes each checked request through admission, attempts and hand-overs to
-/// its answer.
+/// its answer. It knows no sockets and no timers: those who drive it report
+/// what happened.
 #ifndef COLTSFOOTSHED_REQUESTS_DISPATCHER_H
 #define COLTSFOOTSHED_REQUESTS_DISPATCHER_H
 
@@ -12,8 +13,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace coltsfootshed {
@@ -32,10 +36,10 @@
 class Dispatcher
 {
 public:
-  Dispatcher(event_base* aBase,
-             const Clock& aClock,
+  Dispatcher(const Clock& aClock,
              NodeAddress aSelf,
-             PeerOutlet& aOutlet);
+             TargetOutlet& aTargets,
+             PeerOutlet& aPeers);
 
   void SetDocument(std::shared_ptr<const Document> aDocument);
   /// Null until the first configuration is in force.
@@ -52,6 +56,10 @@
   /// dropped.
   void OnCallerGone(RequestId aRequest);
   void OnHandoverEnded(HandoverEnded aNews);
+  /// When the next deadline passes, if a request is under way.
+  std::optional<Millis> NextDeadline() const;
+  /// Ends the requests whose deadline has passed.
+  void OnDeadlines();
   /// Periodic work: shares, probes, waiting requests.
   void OnTick();
 
@@ -89,8 +97,9 @@
   FlowStep JudgeAnswer(ActiveRequest& aRequest,
                        const std::string& aTarget,
                        const HttpAnswer& aAnswer);
-  void OnDeadline(RequestId aRequest);
+  void OnDeadline(ActiveRequest& aRequest);
   void Proceed(ActiveRequest& aRequest, FlowStep aStep);
+  void GiveUpWaiting(ActiveRequest& aRequest);
   void FinishUnanswered(ActiveRequest& aRequest);
   void Finish(ActiveRequest& aRequest, RequestAnswer aAnswer);
   void ReleaseAttempts(ActiveRequest& aRequest);
@@ -98,11 +107,10 @@
   void ForgetHandover(ActiveRequest& aRequest);
   void ProbeSuspected(ServiceLane& aLane);
 
-  event_base* base_;
   const Clock& clock_;
   NodeAddress self_;
-  PeerOutlet& outlet_;
-  AttemptRunner runner_;
+  TargetOutlet& targets_;
+  PeerOutlet& peerOutlet_;
   RequestMetrics metrics_;
   std::shared_ptr<const Document> document_;
   VmTable vms_;
@@ -114,9 +122,7 @@
   std::unordered_map<HandoverId, RequestId> handovers_; ///< under way
   std::map<std::string, std::int64_t, std::less<>> handoversByNode_;
   std::map<std::string, Millis, std::less<>> pausedNodes_;
-  // Timers cannot be deleted from within their callbacks.
-  std::vector<std::unique_ptr<Timer>> deadTimers_;
-  Timer sweep_;
+  std::set<std::pair<Millis, RequestId>> deadlines_;
 };
 
 } // namespace coltsfootshed
--- a/include/coltsfootshed/Requests/RequestsTask.h
+++ b/include/coltsfootshed/Requests/RequestsTask.h
@@ -6,11 +6,13 @@
 
 #include "coltsfootshed/Fleet/Messages.h"
 #include "coltsfootshed/Http/Server.h"
+#include "coltsfootshed/Requests/AttemptRunner.h"
 #include "coltsfootshed/Requests/Dispatcher.h"
 #include "coltsfootshed/Requests/Messages.h"
 #include "coltsfootshed/Support/MailboxEvent.h"
 
 #include <memory>
+#include <optional>
 
 namespace coltsfootshed {
 
@@ -43,6 +45,9 @@
   void OnRequest(const std::shared_ptr<ServerExchange>& aExchange);
   void OnTick();
   void OnStopTick();
+  void ArmDeadline();
+  void Accept(CheckedRequest aRequest,
+              const std::shared_ptr<ServerExchange>& aExchange);
 
   void Handle(DocumentInForce aMessage);
   void Handle(const VmsRead& aMessage);
@@ -56,10 +61,13 @@
   const Clock& clock_;
   Mailboxes& mailboxes_;
   event_base* base_;
+  std::unique_ptr<AttemptRunner> targets_;
   std::unique_ptr<Dispatcher> dispatcher_;
   std::unique_ptr<HttpServer> server_;
   std::unique_ptr<MailboxEvent<RequestsMessage>> mail_;
   std::unique_ptr<Timer> tick_;
+  std::unique_ptr<Timer> deadlineTimer_;
+  std::optional<Millis> deadlineArmed_;
   std::unique_ptr<Timer> stopTick_;
   Millis stopAskedAt_{ 0 };
   Millis idleSince_{ 0 };
--- /dev/null
+++ b/include/coltsfootshed/Requests/TargetOutlet.h
@@ -0,0 +1,59 @@
+/// \file
+/// What the dispatcher asks of the connections to targets.
+#ifndef COLTSFOOTSHED_REQUESTS_TARGETOUTLET_H
+#define COLTSFOOTSHED_REQUESTS_TARGETOUTLET_H
+
+#include "coltsfootshed/Http/ClientConnection.h"
+#include "coltsfootshed/Support/Clock.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace coltsfootshed {
+
+/// Names an attempt of one outlet.
+using AttemptId = std::uint64_t;
+
+/// What an attempt reports, never from within Start(). Either may come first;
+/// onEnd_ comes once, unless the attempt is abandoned.
+struct AttemptEvents
+{
+  std::function<void(AttemptId, CallResult)> onEnd_;
+  /// No answer within the usual time. The argument tells whether the target
+  /// answered a probe on a new connection.
+  std::function<void(bool)> onSilent_;
+};
+
+/// How to reach a target and what to expect of it.
+struct AttemptTarget
+{
+  Endpoint endpoint_;
+  std::string probePath_;
+  Millis usual_{ 0 }; ///< silence for longer causes a probe
+};
+
+class TargetOutlet
+{
+public:
+  virtual ~TargetOutlet() = default;
+  /// Starts an attempt that ends after aLimit at the latest. With aCareful a
+  /// pooled connection is used only if its peer answered a moment ago.
+  virtual AttemptId Start(const AttemptTarget& aTarget,
+                          const HttpRequest& aRequest,
+                          Millis aLimit,
+                          bool aCareful,
+                          AttemptEvents aEvents) = 0;
+  virtual void Abandon(AttemptId aAttempt) = 0;
+  /// True if a byte of the attempt may have left this process.
+  virtual bool MayHaveSent(AttemptId aAttempt) const = 0;
+  /// Asks whether a target answers at all.
+  virtual void Probe(const AttemptTarget& aTarget,
+                     std::function<void(bool)> aOnEnd) = 0;
+  /// Closes the idle connections to a target.
+  virtual void CloseIdle(const Endpoint& aTarget) = 0;
+};
+
+} // namespace coltsfootshed
+
+#endif
--- a/lib/Admission/TenantQueue.cpp
+++ b/lib/Admission/TenantQueue.cpp
@@ -82,6 +82,7 @@
       std::erase_if(line->second.requests_, [aId](const QueuedRequest& aItem) {
         return aItem.id_ == aId;
       });
+    assert(removed < 2 && "a request waits at most once");
     if (removed > 0) {
       --size_;
       EraseIfEmpty(line);
--- a/lib/Requests/Dispatcher.cpp
+++ b/lib/Requests/Dispatcher.cpp
@@ -14,17 +14,15 @@
 /// A node without a link gets no hand-overs for this long.
 static constexpr Millis kUnreachablePause{ 250 };
 
-Dispatcher::Dispatcher(event_base* aBase,
-                       const Clock& aClock,
+Dispatcher::Dispatcher(const Clock& aClock,
                        NodeAddress aSelf,
-                       PeerOutlet& aOutlet)
-  : base_(aBase)
-  , clock_(aClock)
+                       TargetOutlet& aTargets,
+                       PeerOutlet& aPeers)
+  : clock_(aClock)
   , self_(aSelf)
-  , outlet_(aOutlet)
-  , runner_(aBase, aClock)
+  , targets_(aTargets)
+  , peerOutlet_(aPeers)
   , peers_(aClock, std::move(aSelf))
-  , sweep_(aBase, [this] { deadTimers_.clear(); })
 {
 }
 
@@ -97,9 +95,7 @@
   active->arrived_ = clock_.Now();
   active->deadline_ = active->arrived_ + terms.timeLeft_;
   active->mayHandOver_ = aMayHandOver;
-  active->deadlineTimer_ =
-    std::make_unique<Timer>(base_, [this, id] { OnDeadline(id); });
-  active->deadlineTimer_->Start(terms.timeLeft_);
+  deadlines_.emplace(active->deadline_, id);
   ActiveRequest& request =
     *requests_.emplace(id, std::move(active)).first->second;
   ServiceLane& lane = *request.lane_;
@@ -110,6 +106,7 @@
 
 void Dispatcher::Enqueue(ActiveRequest& aRequest)
 {
+  aRequest.isWaiting_ = true;
   const RequestTerms& terms = aRequest.request_.terms_;
   QueuedRequest entry;
   entry.id_ = aRequest.id_;
@@ -123,9 +120,19 @@
   entry.mayHandOver_ = aRequest.mayHandOver_;
   Admitted admitted = aRequest.lane_->queue_.Offer(entry);
   if (admitted.evicted_) {
-    FinishUnanswered(*Find(*admitted.evicted_));
+    GiveUpWaiting(*Find(*admitted.evicted_));
   }
   if (!admitted.queued_) {
+    GiveUpWaiting(aRequest);
+  }
+}
+
+/// The queue has no place for a request. If another attempt is under way, its
+/// end decides.
+void Dispatcher::GiveUpWaiting(ActiveRequest& aRequest)
+{
+  aRequest.isWaiting_ = false;
+  if (aRequest.attempts_.empty() && aRequest.handover_ == 0) {
     FinishUnanswered(aRequest);
   }
 }
@@ -172,7 +179,7 @@
     break;
   }
   for (RequestId id : dropped) {
-    FinishUnanswered(*Find(id));
+    GiveUpWaiting(*Find(id));
   }
 }
 
@@ -248,6 +255,7 @@
   if (aRequest.started_ == Millis(0)) {
     aRequest.started_ = now;
   }
+  aRequest.isWaiting_ = false;
   aRequest.flow_->OnAttempt();
   AttemptEvents events;
   events.onEnd_ = [this, id = aRequest.id_, vm = *target](AttemptId aAttempt,
@@ -258,11 +266,11 @@
     OnAttemptSilent(id, vm, aAlive);
   };
   bool careful = !aRequest.request_.terms_.idempotent_;
-  AttemptId attempt = runner_.Start(TargetOf(lane, *target),
-                                    ContentForTarget(aRequest.request_, left),
-                                    left + kAttemptSlack,
-                                    careful,
-                                    std::move(events));
+  AttemptId attempt = targets_.Start(TargetOf(lane, *target),
+                                     ContentForTarget(aRequest.request_, left),
+                                     left + kAttemptSlack,
+                                     careful,
+                                     std::move(events));
   aRequest.attempts_.push_back({ attempt, *target });
   return true;
 }
@@ -270,6 +278,8 @@
 void Dispatcher::StartHandover(ActiveRequest& aRequest,
                                const std::string& aNode)
 {
+  assert(aRequest.handover_ == 0 && "one hand-over of a request at a time");
+  aRequest.isWaiting_ = false;
   aRequest.flow_->OnAttempt();
   aRequest.handover_ = ++lastHandover_;
   handovers_.emplace(aRequest.handover_, aRequest.id_);
@@ -280,7 +290,7 @@
   ++handoversByNode_[aNode];
   CheckedRequest handed = aRequest.request_;
   handed.terms_.timeLeft_ = aRequest.deadline_ - clock_.Now();
-  outlet_.HandOver(aRequest.handover_, aNode, handed);
+  peerOutlet_.HandOver(aRequest.handover_, aNode, handed);
 }
 
 static bool IsRefusal(const HttpAnswer& aAnswer)
@@ -297,7 +307,7 @@
   if (FindHeader(aAnswer.headers_, kLeavingHeader)) {
     LeavingMark mark = vms_.MarkFor(aTarget);
     if (vms_.MergeMark(mark)) {
-      outlet_.TellLeaving(mark);
+      peerOutlet_.TellLeaving(mark);
       UpdateTargets();
     }
   }
@@ -336,7 +346,7 @@
   }
   lane.chooser_.OnFailure(aTarget);
   request.tried_.insert(aTarget);
-  runner_.CloseIdle(TargetOf(lane, aTarget).endpoint_);
+  targets_.CloseIdle(TargetOf(lane, aTarget).endpoint_);
   bool broken = aResult.end_ == CallEnd::Broken;
   Proceed(request,
           broken ? request.flow_->OnBroken() : request.flow_->OnNotSent());
@@ -355,7 +365,7 @@
   if (!aAlive) {
     lane.chooser_.OnFailure(aTarget);
     request->tried_.insert(aTarget);
-    runner_.CloseIdle(TargetOf(lane, aTarget).endpoint_);
+    targets_.CloseIdle(TargetOf(lane, aTarget).endpoint_);
   }
   Proceed(*request, request->flow_->OnSilent());
   Pump(lane);
@@ -363,7 +373,7 @@
 
 void Dispatcher::Proceed(ActiveRequest& aRequest, FlowStep aStep)
 {
-  bool othersRun = !aRequest.attempts_.empty();
+  bool othersRun = !aRequest.attempts_.empty() || aRequest.handover_ != 0;
   if (aStep == FlowStep::Wait || (aStep == FlowStep::Finish && othersRun)) {
     return;
   }
@@ -371,7 +381,12 @@
     FinishUnanswered(aRequest);
     return;
   }
+  if (aRequest.isWaiting_ || aRequest.handover_ != 0) {
+    // An earlier end of another attempt has led to a retry already.
+    return;
+  }
   if (aRequest.holdsSlot_) {
+    aRequest.isWaiting_ = true;
     aRequest.lane_->retries_.push_back(aRequest.id_);
     return;
   }
@@ -421,17 +436,31 @@
   aRequest.handover_ = 0;
 }
 
-void Dispatcher::OnDeadline(RequestId aRequest)
+std::optional<Millis> Dispatcher::NextDeadline() const
 {
-  ActiveRequest& request = *Find(aRequest);
-  ServiceLane& lane = *request.lane_;
-  bool maySent = request.handover_ != 0;
-  for (const RunningAttempt& attempt : request.attempts_) {
-    maySent = maySent || runner_.MayHaveSent(attempt.id_);
+  if (deadlines_.empty()) {
+    return std::nullopt;
+  }
+  return deadlines_.begin()->first;
+}
+
+void Dispatcher::OnDeadlines()
+{
+  while (!deadlines_.empty() && deadlines_.begin()->first <= clock_.Now()) {
+    OnDeadline(*Find(deadlines_.begin()->second));
+  }
+}
+
+void Dispatcher::OnDeadline(ActiveRequest& aRequest)
+{
+  ServiceLane& lane = *aRequest.lane_;
+  bool maySent = aRequest.handover_ != 0;
+  for (const RunningAttempt& attempt : aRequest.attempts_) {
+    maySent = maySent || targets_.MayHaveSent(attempt.id_);
   }
-  request.overdue_ = true;
-  request.flow_->OnDeadline(maySent);
-  FinishUnanswered(request);
+  aRequest.overdue_ = true;
+  aRequest.flow_->OnDeadline(maySent);
+  FinishUnanswered(aRequest);
   Pump(lane);
 }
 
@@ -474,7 +503,7 @@
 void Dispatcher::ReleaseAttempts(ActiveRequest& aRequest)
 {
   for (const RunningAttempt& attempt : aRequest.attempts_) {
-    runner_.Abandon(attempt.id_);
+    targets_.Abandon(attempt.id_);
     aRequest.lane_->chooser_.Release(attempt.target_);
   }
   aRequest.attempts_.clear();
@@ -514,9 +543,7 @@
   headers.emplace_back(kOutcomeHeader, OutcomeName(aAnswer.outcome_));
   headers.emplace_back(kRequestIdHeader, terms.requestId_);
   auto onAnswer = std::move(aRequest.onAnswer_);
-  aRequest.deadlineTimer_->Stop();
-  deadTimers_.push_back(std::move(aRequest.deadlineTimer_));
-  sweep_.Start(Millis(0));
+  deadlines_.erase({ aRequest.deadline_, aRequest.id_ });
   requests_.erase(aRequest.id_);
   onAnswer(std::move(aAnswer));
 }
@@ -527,7 +554,7 @@
     if (vms_.Find(vm) == nullptr) {
       continue;
     }
-    runner_.Probe(TargetOf(aLane, vm), [this, vm, lane = &aLane](bool aAlive) {
+    targets_.Probe(TargetOf(aLane, vm), [this, vm, lane = &aLane](bool aAlive) {
       if (!aAlive) {
         lane->chooser_.OnFailure(vm);
         return;
--- a/lib/Requests/RequestsTask.cpp
+++ b/lib/Requests/RequestsTask.cpp
@@ -22,8 +22,14 @@
 {
   NodeAddress self{ settings_.node_, settings_.dataCentre_, settings_.peers_ };
   PeerOutlet& outlet = *this;
+  targets_ = std::make_unique<AttemptRunner>(base_, clock_);
   dispatcher_ =
-    std::make_unique<Dispatcher>(base_, clock_, std::move(self), outlet);
+    std::make_unique<Dispatcher>(clock_, std::move(self), *targets_, outlet);
+  deadlineTimer_ = std::make_unique<Timer>(base_, [this] {
+    deadlineArmed_.reset();
+    dispatcher_->OnDeadlines();
+    ArmDeadline();
+  });
   ServerLimits limits{ static_cast<std::uint64_t>(settings_.maxBody_),
                        static_cast<std::size_t>(settings_.maxCallers_) };
   server_ = std::make_unique<HttpServer>(
@@ -42,9 +48,11 @@
 {
   stopTick_.reset();
   tick_.reset();
+  deadlineTimer_.reset();
   mail_.reset();
   server_.reset();
   dispatcher_.reset();
+  targets_.reset();
   event_base_free(base_);
 }
 
@@ -88,9 +96,20 @@
     std::move(*checked), true, [aExchange](const RequestAnswer& aAnswer) {
       aExchange->Reply(aAnswer.answer_);
     });
+  ArmDeadline();
   aExchange->SetOnGone([this, id] { dispatcher_->OnCallerGone(id); });
 }
 
+void RequestsTask::ArmDeadline()
+{
+  std::optional<Millis> next = dispatcher_->NextDeadline();
+  if (!next || (deadlineArmed_ && *deadlineArmed_ <= *next)) {
+    return;
+  }
+  deadlineArmed_ = next;
+  deadlineTimer_->Start(*next - clock_.Now());
+}
+
 void RequestsTask::HandOver(HandoverId aId,
                             const std::string& aNode,
                             const CheckedRequest& aRequest)
@@ -140,6 +159,7 @@
     std::move(aMessage.request_), false, [this, id](RequestAnswer aAnswer) {
       mailboxes_.peers_.Post(HandoverServed{ id, std::move(aAnswer) });
     });
+  ArmDeadline();
 }
 
 void RequestsTask::Handle(HandoverEnded aMessage)
--- /dev/null
+++ b/unittests/Requests/World.h
@@ -0,0 +1,119 @@
+/// \file
+/// Targets and peers as a dispatcher under test sees them, and the oracle:
+/// what ran, and what callers were told.
+#ifndef COLTSFOOTSHED_UNITTESTS_REQUESTS_WORLD_H
+#define COLTSFOOTSHED_UNITTESTS_REQUESTS_WORLD_H
+
+#include "Support/ManualClock.h"
+#include "coltsfootshed/Requests/Dispatcher.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace coltsfootshed {
+
+/// A lie told to the dispatcher, to show that the oracle can fail.
+enum class Lie
+{
+  None,
+  BrokenIsNotSent,  ///< a broken attempt is reported as never sent
+  RanIsRefused,     ///< a target that ran the request declares not-run
+  SwappedAnswers,   ///< an answer belongs to another request
+  LeavingUnheard,   ///< a leaving target's word is lost
+  HandoverIsRefused ///< a peer that ran the request declares not-run
+};
+
+class World final
+  : private TargetOutlet
+  , private PeerOutlet
+{
+public:
+  explicit World(Lie aLie = Lie::None);
+
+  // Events. aPick chooses among what exists; an event that finds nothing to
+  // act on does nothing.
+  void Offer(unsigned aPick);
+  void RefuseConnect(unsigned aPick);
+  void Deliver(unsigned aPick);
+  void Run(unsigned aPick);
+  void Answer(unsigned aPick);
+  void Break(unsigned aPick);
+  void DeclareNotRun(unsigned aPick);
+  void GoSilent(unsigned aPick);
+  void SayLeaving(unsigned aPick);
+  void ListVm(unsigned aPick);
+  void EndHandover(unsigned aPick);
+  void HangUp(unsigned aPick);
+  void AnswerProbes(unsigned aPick);
+  void PassTime(unsigned aPick);
+
+  /// Lets all deadlines pass.
+  void Drain();
+  /// The first broken promise, or an empty text.
+  const std::string& Violation() const { return violation_; }
+  std::size_t Requests() const { return requests_.size(); }
+
+private:
+  struct Attempt
+  {
+    std::string request_;
+    std::string vm_; ///< empty: handed over to a peer
+    AttemptEvents events_;
+    bool sent_ = false;
+    bool ran_ = false;
+    bool closed_ = false;    ///< will not run any more
+    bool abandoned_ = false; ///< the dispatcher hears no more of it
+    HandoverId handover_ = 0;
+  };
+  struct Request
+  {
+    bool idempotent_ = false;
+    int ran_ = 0;
+    std::optional<Outcome> told_;
+    RequestId id_ = 0;
+  };
+
+  AttemptId Start(const AttemptTarget& aTarget,
+                  const HttpRequest& aRequest,
+                  Millis aLimit,
+                  bool aCareful,
+                  AttemptEvents aEvents) override;
+  void Abandon(AttemptId aAttempt) override;
+  bool MayHaveSent(AttemptId aAttempt) const override;
+  void Probe(const AttemptTarget& aTarget,
+             std::function<void(bool)> aOnEnd) override;
+  void CloseIdle(const Endpoint&) override {}
+  void HandOver(HandoverId aId,
+                const std::string& aNode,
+                const CheckedRequest& aRequest) override;
+  void TellLeaving(const LeavingMark&) override {}
+
+  /// A matching attempt, or null. Those that run on unheard count only if
+  /// aAlsoAbandoned.
+  Attempt* Pick(unsigned aPick,
+                bool aAlsoAbandoned,
+                bool (*aWanted)(const Attempt&));
+  void EndAttempt(Attempt& aAttempt, CallResult aResult);
+  void CheckStart(const Attempt& aAttempt);
+  void OnTold(const std::string& aRequest, const RequestAnswer& aAnswer);
+  void Check(bool aHolds, const std::string& aText);
+  void ReportPeer();
+
+  Lie lie_;
+  ManualClock clock_;
+  Dispatcher dispatcher_;
+  std::map<AttemptId, Attempt> attempts_;
+  AttemptId lastAttempt_ = 0;
+  std::map<std::string, Request> requests_;
+  std::set<std::string> leaving_;
+  std::map<std::string, std::uint64_t> revisions_;
+  std::vector<std::function<void(bool)>> probes_;
+  std::string violation_;
+};
+
+} // namespace coltsfootshed
+
+#endif
