--- a/scripts/check.py
+++ b/scripts/check.py
@@ -23,10 +23,10 @@
     return sorted(path for path in found if ".capnp." not in path.name)
 
 
-def run(command, **options):
+def run(command, stderr=subprocess.STDOUT, **options):
     return subprocess.run([str(part) for part in command], cwd=ROOT, text=True,
-                          stdout=subprocess.PIPE, stderr=subprocess.STDOUT,
-                          check=False, **options)
+                          stdout=subprocess.PIPE, stderr=stderr, check=False,
+                          **options)
 
 
 def check_format():
@@ -55,15 +55,17 @@
 
 
 def unit_tests(directory, *suites):
-    result = run([directory / "unittests", *suites], timeout=600)
+    result = run([directory / "unittests", *suites], timeout=600,
+                 stderr=subprocess.PIPE)
     results = []
+    output = result.stdout + result.stderr
     for line in result.stdout.splitlines():
         match = re.fullmatch(r"(.+) : (OK|assertion|error)", line)
         if match:
             name = f"{match[1]} [{directory.name}]"
-            results.append((name, match[2] == "OK", result.stdout))
+            results.append((name, match[2] == "OK", output))
     if result.returncode != 0 and all(ok for _, ok, _ in results):
-        results.append((f"unittests [{directory.name}]", False, result.stdout))
+        results.append((f"unittests [{directory.name}]", False, output))
     return results
 
 
--- a/test/e2e/failure_tests.py
+++ b/test/e2e/failure_tests.py
@@ -87,7 +87,7 @@
     """SIGSTOP of a target, SIGCONT later: posts run at most once, gets are
     answered through others, new work does not suffer."""
     with Site(build, work, entries="a", targets="aaa") as site:
-        posts = site.load("post", rate=100, ms=3000, deadline=2000)
+        posts = site.load("post", rate=100, ms=3000, work=100, deadline=2000)
         gets = site.load("get", method="GET", rate=100, ms=3000)
         wait_for(lambda: len(site.runs()) > 100, "traffic")
         frozen = site.targets["vm-0"].process
