Fleet fuzz: the mutant of a repeated command is caught

Change: it repeats the command only every other time. Conclusion: the residual race is real if the platform repeats commands: a late duplicate reboots a serving VM.

--- a/unittests/Fleet/FleetWorld.cpp
+++ b/unittests/Fleet/FleetWorld.cpp
@@ -311,7 +311,8 @@
 
 void FleetWorld::Boot(unsigned aPick)
 {
-  if (mutant_ == FleetMutant::CommandRepeated && !reboots_.empty()) {
+  bool repeats = mutant_ == FleetMutant::CommandRepeated && aPick % 2 == 0;
+  if (repeats && !reboots_.empty()) {
     auto again = std::next(reboots_.begin(), aPick % reboots_.size());
     Reboot({ again->first, again->second });
     return;
