--- a/include/coltsfootshed/Admin/AdminApi.h
+++ b/include/coltsfootshed/Admin/AdminApi.h
@@ -3,6 +3,7 @@
 #ifndef COLTSFOOTSHED_ADMIN_ADMINAPI_H
 #define COLTSFOOTSHED_ADMIN_ADMINAPI_H
 
+#include "coltsfootshed/Fleet/FleetState.h"
 #include "coltsfootshed/Fleet/Submission.h"
 #include "coltsfootshed/Http/Server.h"
 #include "coltsfootshed/Requests/Messages.h"
@@ -24,6 +25,7 @@
   Millis platformAge_{ -1 }; ///< since the platform's last answer; -1: never
   std::uint64_t platformCalls_ = 0;
   bool isWatcher_ = false;
+  bool isSteward_ = false;
   bool stopping_ = false;
 };
 
@@ -36,6 +38,9 @@
   /// Version and text of the configuration in force.
   virtual std::uint64_t ConfigVersion() const = 0;
   virtual const std::string& ConfigText() const = 0;
+  /// The data centre's records, and the document in force (may be null).
+  virtual const FleetState& Records() const = 0;
+  virtual std::shared_ptr<const Document> CurrentDocument() const = 0;
   /// Submits a document that was checked before.
   virtual void Submit(std::string_view aText,
                       std::uint64_t aFromVersion,
@@ -72,6 +77,7 @@
   void OnStatus(const Exchange& aExchange);
   void OnMetrics(const Exchange& aExchange);
   void OnHistograms(const Exchange& aExchange);
+  void OnFleet(const Exchange& aExchange);
   void OnShowConfig(const Exchange& aExchange);
   void OnCheckConfig(const Exchange& aExchange);
   void OnSubmitConfig(const Exchange& aExchange);
--- a/include/coltsfootshed/Fleet/FleetTask.h
+++ b/include/coltsfootshed/Fleet/FleetTask.h
@@ -8,6 +8,7 @@
 #include "coltsfootshed/Config/ConfigKeeper.h"
 #include "coltsfootshed/Fleet/ConfigFetch.h"
 #include "coltsfootshed/Fleet/Messages.h"
+#include "coltsfootshed/Fleet/StewardRunner.h"
 #include "coltsfootshed/Requests/RequestsTask.h"
 #include "coltsfootshed/Support/Backoff.h"
 
@@ -34,6 +35,11 @@
   NodeStatus Status() const override;
   std::uint64_t ConfigVersion() const override { return keeper_.Version(); }
   const std::string& ConfigText() const override { return keeper_.Text(); }
+  const FleetState& Records() const override { return records_; }
+  std::shared_ptr<const Document> CurrentDocument() const override
+  {
+    return keeper_.CurrentDocument();
+  }
   void Submit(std::string_view aText,
               std::uint64_t aFromVersion,
               std::string_view aAuthor,
@@ -47,9 +53,12 @@
   void Adopt(const Head& aHead, const Sections& aSections);
   void ReadVms();
   void MergeVms(const VmListPage& aPage);
+  void AdoptRecords(std::uint64_t aRevision, const std::string& aRecords);
 
   void Handle(const PeerConfig& aMessage);
   void Handle(const PeerVms& aMessage);
+  void Handle(const PeerRecords& aMessage);
+  void Handle(const OwnQuiet& aMessage);
   void Handle(const PeerSeen& aMessage);
   void Handle(const ViewMade& aMessage);
   void Handle(StopAsked aMessage);
@@ -65,10 +74,13 @@
   VmTable vms_;
   std::uint64_t vmRevision_ = 0;
   std::uint64_t headRevision_ = 0;
+  std::uint64_t recordsRevision_ = 0;
+  FleetState records_;
   Millis platformHeard_{ -1 };
   bool stopping_ = false;
   std::unique_ptr<PlatformClient> platform_;
   std::unique_ptr<ConfigFetch> fetch_;
+  std::unique_ptr<StewardRunner> steward_;
   Backoff headBackoff_;
   Backoff vmBackoff_;
   std::unique_ptr<Timer> headTimer_;
--- a/include/coltsfootshed/Fleet/Messages.h
+++ b/include/coltsfootshed/Fleet/Messages.h
@@ -26,6 +26,19 @@
   VmListPage page_;
 };
 
+/// A peer's records of this data centre.
+struct PeerRecords
+{
+  std::uint64_t revision_ = 0;
+  std::string records_;
+};
+
+/// VMs that are out and have no request of this process under way.
+struct OwnQuiet
+{
+  std::vector<QuietVm> quiet_;
+};
+
 /// A peer's report has arrived.
 struct PeerSeen
 {
@@ -47,8 +60,14 @@
 struct RequestsDrained
 {};
 
-using FleetMessage = std::
-  variant<PeerConfig, PeerVms, PeerSeen, ViewMade, StopAsked, RequestsDrained>;
+using FleetMessage = std::variant<PeerConfig,
+                                  PeerVms,
+                                  PeerRecords,
+                                  OwnQuiet,
+                                  PeerSeen,
+                                  ViewMade,
+                                  StopAsked,
+                                  RequestsDrained>;
 using FleetMailbox = Mailbox<FleetMessage>;
 
 } // namespace coltsfootshed
--- a/include/coltsfootshed/Membership/PeerTable.h
+++ b/include/coltsfootshed/Membership/PeerTable.h
@@ -34,6 +34,16 @@
 };
 using ServiceLoads = std::map<std::string, ServiceLoad, std::less<>>;
 
+/// A VM that its node knows to be out under this fence, and has no request
+/// under way on.
+struct QuietVm
+{
+  std::string vm_;
+  std::uint64_t fence_ = 0;
+
+  bool operator==(const QuietVm&) const = default;
+};
+
 /// What an entry VM says of itself.
 struct NodeReport
 {
@@ -44,6 +54,8 @@
   ServiceLoads loads_;
   std::vector<LeavingMark> marks_;
   std::vector<NodeAddress> known_;
+  std::uint64_t fleetRevision_ = 0; ///< records of its data centre
+  std::vector<QuietVm> quiet_;
 };
 
 /// Reports by node, each valid for a lease after it arrived.
@@ -70,6 +82,10 @@
   /// aOwnDemand for this node.
   Demands LocalDemands(std::string_view aService,
                        std::int64_t aOwnDemand) const;
+  /// True if every node of this data centre that may still send work to a VM
+  /// has reported it quiet. A node that went silent without stopping counts
+  /// until it is forgotten.
+  bool AllQuiet(const QuietVm& aVm) const;
   /// True if this node is one of the two of its data centre that watch the
   /// platform on behalf of the others.
   bool IsWatcher() const;
--- a/include/coltsfootshed/Membership/VmTable.h
+++ b/include/coltsfootshed/Membership/VmTable.h
@@ -23,6 +23,7 @@
   std::string rack_;
   Endpoint endpoint_;
   bool leaving_ = false;
+  std::string rebooted_; ///< operation of its latest reboot, empty if none
   std::uint64_t revision_ = 0; ///< grows with each change of this VM
 };
 
--- a/include/coltsfootshed/Peers/Messages.h
+++ b/include/coltsfootshed/Peers/Messages.h
@@ -23,6 +23,14 @@
 struct OwnLoads
 {
   ServiceLoads loads_;
+  std::vector<QuietVm> quiet_;
+};
+
+/// The data centre's records that this process holds.
+struct RecordsHeld
+{
+  std::uint64_t revision_ = 0;
+  std::string records_; ///< as in the platform
 };
 
 /// VMs that this process has just seen leaving; peers are told at once.
@@ -71,6 +79,7 @@
                                   MarksSeen,
                                   ConfigHeld,
                                   VmsHeld,
+                                  RecordsHeld,
                                   HandoverWanted,
                                   HandoverServed,
                                   PeersStopping,
--- a/include/coltsfootshed/Platform/Client.h
+++ b/include/coltsfootshed/Platform/Client.h
@@ -31,6 +31,7 @@
 public:
   using OnValue = std::function<void(Result<StoredValue>)>;
   using OnWrite = std::function<void(WriteResult)>;
+  using OnHeld = std::function<void(bool)>;
   using OnVms = std::function<void(Result<VmListPage>)>;
 
   PlatformClient(event_base* aBase,
@@ -53,6 +54,17 @@
                std::uint64_t aSince,
                OnVms aOnVms);
 
+  /// Takes or extends a lease; the callback tells whether it is held.
+  void HoldLease(std::string_view aName,
+                 std::string_view aHolder,
+                 Millis aTime,
+                 OnHeld aOnHeld);
+  /// Asks for a reboot. Asking again for the same operation has no effect.
+  /// Whether it came about shows in the VM list.
+  void Reboot(std::string_view aVm,
+              std::string_view aOperation,
+              std::function<void()> aOnEnd);
+
   /// Calls made so far.
   std::uint64_t Calls() const { return calls_; }
 
--- a/include/coltsfootshed/Requests/Dispatcher.h
+++ b/include/coltsfootshed/Requests/Dispatcher.h
@@ -33,6 +33,10 @@
   virtual void TellLeaving(const LeavingMark& aMark) = 0;
 };
 
+/// VMs by pool.
+using PoolMembers =
+  std::map<std::string, std::vector<std::string>, std::less<>>;
+
 class Dispatcher
 {
 public:
@@ -46,6 +50,10 @@
   const Document* CurrentDocument() const { return document_.get(); }
   void MergeVms(std::span<const VmRecord> aVms);
   void MergeReport(const NodeReport& aReport);
+  /// Takes the data centre's records, newer than before.
+  void SetRecords(FleetState aFleet);
+  /// VMs that the records show as out and that have no attempt under way.
+  std::vector<QuietVm> QuietVms() const;
 
   /// Takes a request; aOnAnswer runs exactly once. A request that was handed
   /// over to this node must not be handed over again.
@@ -77,6 +85,8 @@
   AttemptTarget TargetOf(const ServiceLane& aLane,
                          const std::string& aVm) const;
   void UpdateTargets();
+  PoolMembers MembersByPool() const;
+  bool IsLocalTarget(const std::string& aVm) const;
   void Enqueue(ActiveRequest& aRequest);
   void Pump(ServiceLane& aLane);
   void PumpRetries(ServiceLane& aLane);
@@ -114,6 +124,7 @@
   RequestMetrics metrics_;
   std::shared_ptr<const Document> document_;
   VmTable vms_;
+  FleetState fleet_;
   PeerTable peers_;
   std::map<std::string, std::unique_ptr<ServiceLane>, std::less<>> lanes_;
   Requests requests_;
--- a/include/coltsfootshed/Requests/Messages.h
+++ b/include/coltsfootshed/Requests/Messages.h
@@ -4,6 +4,7 @@
 #define COLTSFOOTSHED_REQUESTS_MESSAGES_H
 
 #include "coltsfootshed/Config/Document.h"
+#include "coltsfootshed/Fleet/FleetState.h"
 #include "coltsfootshed/Membership/PeerTable.h"
 #include "coltsfootshed/Peers/Messages.h"
 #include "coltsfootshed/Requests/Handover.h"
@@ -30,6 +31,12 @@
   std::vector<VmRecord> vms_;
 };
 
+/// The data centre's records, newer than before.
+struct RecordsInForce
+{
+  FleetState fleet_;
+};
+
 /// A peer's report has arrived.
 struct PeerReported
 {
@@ -81,6 +88,7 @@
 
 using RequestsMessage = std::variant<DocumentInForce,
                                      VmsRead,
+                                     RecordsInForce,
                                      PeerReported,
                                      HandoverArrived,
                                      HandoverEnded,
--- a/include/coltsfootshed/Requests/RequestsTask.h
+++ b/include/coltsfootshed/Requests/RequestsTask.h
@@ -46,11 +46,13 @@
   void OnTick();
   void OnStopTick();
   void ArmDeadline();
+  void TellQuiet();
   void Accept(CheckedRequest aRequest,
               const std::shared_ptr<ServerExchange>& aExchange);
 
   void Handle(DocumentInForce aMessage);
   void Handle(const VmsRead& aMessage);
+  void Handle(RecordsInForce aMessage);
   void Handle(const PeerReported& aMessage);
   void Handle(HandoverArrived aMessage);
   void Handle(HandoverEnded aMessage);
@@ -69,6 +71,7 @@
   std::unique_ptr<Timer> deadlineTimer_;
   std::optional<Millis> deadlineArmed_;
   std::unique_ptr<Timer> stopTick_;
+  std::vector<QuietVm> quietTold_;
   Millis stopAskedAt_{ 0 };
   Millis idleSince_{ 0 };
   bool stopping_ = false;
--- a/include/coltsfootshed/Requests/ServiceLane.h
+++ b/include/coltsfootshed/Requests/ServiceLane.h
@@ -7,7 +7,6 @@
 #include "coltsfootshed/Admission/ServiceQueue.h"
 #include "coltsfootshed/Config/Document.h"
 #include "coltsfootshed/Membership/PeerTable.h"
-#include "coltsfootshed/Membership/VmTable.h"
 #include "coltsfootshed/Routing/RetryBudget.h"
 #include "coltsfootshed/Routing/TargetChooser.h"
 
@@ -28,11 +27,9 @@
   const ServiceSpec& Spec() const { return spec_; }
   const std::string& Name() const { return name_; }
 
-  /// Recomputes which targets this node may use and how many slots of each.
-  void UpdateTargets(const PoolSpec& aPool,
-                     const VmTable& aVms,
+  /// Recomputes how many slots of each target this node may use.
+  void UpdateTargets(std::vector<std::string> aTargets,
                      const PeerTable& aPeers,
-                     std::string_view aDataCentre,
                      std::string_view aNode);
   /// The load to report to peers. Shares are computed from reported demand.
   ServiceLoad TakeLoadReport();
--- a/lib/Admin/AdminApi.cpp
+++ b/lib/Admin/AdminApi.cpp
@@ -48,12 +48,13 @@
 
 std::span<const AdminApi::Route> AdminApi::Routes()
 {
-  static constexpr std::array<Route, 8> kRoutes = {
+  static constexpr std::array<Route, 9> kRoutes = {
     { { "GET", "/healthz", false, &AdminApi::OnHealth },
       { "GET", "/readyz", false, &AdminApi::OnReady },
       { "GET", "/v1/status", false, &AdminApi::OnStatus },
       { "GET", "/metrics", false, &AdminApi::OnMetrics },
       { "GET", "/v1/histograms", false, &AdminApi::OnHistograms },
+      { "GET", "/v1/fleet", false, &AdminApi::OnFleet },
       { "GET", "/v1/config", false, &AdminApi::OnShowConfig },
       { "POST", "/v1/config/check", false, &AdminApi::OnCheckConfig },
       { "POST", "/v1/config", true, &AdminApi::OnSubmitConfig } }
@@ -126,6 +127,7 @@
                 { "platform_age_ms", status.platformAge_.count() },
                 { "platform_calls", status.platformCalls_ },
                 { "watcher", status.isWatcher_ },
+                { "steward", status.isSteward_ },
                 { "stopping", status.stopping_ } };
   backend_.AskView(RequestsView::Status,
                    [aExchange, json](const std::string& aText) mutable {
@@ -150,6 +152,21 @@
   });
 }
 
+void AdminApi::OnFleet(const Exchange& aExchange)
+{
+  auto document = backend_.CurrentDocument();
+  Json waves = Json::object();
+  if (document != nullptr) {
+    for (const auto& [name, wave] : document->waves_) {
+      waves[name] = { { "paused", wave.paused_ } };
+    }
+  }
+  Json json = { { "data_centre", backend_.Status().self_.dataCentre_ },
+                { "records", Json::parse(backend_.Records().ToJson()) },
+                { "waves", waves } };
+  aExchange->Reply(JsonAnswer(200, json));
+}
+
 void AdminApi::OnShowConfig(const Exchange& aExchange)
 {
   HttpAnswer answer = TextAnswer(backend_.ConfigText());
--- a/lib/Fleet/FleetTask.cpp
+++ b/lib/Fleet/FleetTask.cpp
@@ -43,6 +43,16 @@
   , submissionSweep_(
       std::make_unique<Timer>(base_, [this] { endedSubmissions_.clear(); }))
 {
+  steward_ = std::make_unique<StewardRunner>(
+    base_,
+    clock_,
+    *platform_,
+    NodeAddress{ settings_.node_, settings_.dataCentre_, settings_.peers_ },
+    peers_,
+    vms_,
+    [this](std::uint64_t aRevision, const std::string& aRecords) {
+      AdoptRecords(aRevision, aRecords);
+    });
   AdminBackend& backend = *this;
   admin_ = std::make_unique<AdminApi>(base_, backend, std::move(aToken));
 }
@@ -56,6 +66,7 @@
   mail_.reset();
   vmTimer_.reset();
   headTimer_.reset();
+  steward_.reset();
   fetch_.reset();
   platform_.reset();
   event_base_free(base_);
@@ -159,6 +170,7 @@
   mailboxes_.requests_.Post(
     DocumentInForce{ aHead.version_, keeper_.CurrentDocument() });
   mailboxes_.peers_.Post(ConfigHeld{ aHead, keeper_.CurrentSections() });
+  steward_->SetDocument(keeper_.CurrentDocument());
 }
 
 void FleetTask::ReadVms()
@@ -197,6 +209,24 @@
   mailboxes_.peers_.Post(VmsHeld{ std::move(whole) });
 }
 
+void FleetTask::AdoptRecords(std::uint64_t aRevision,
+                             const std::string& aRecords)
+{
+  if (aRevision <= recordsRevision_) {
+    return;
+  }
+  auto fleet = FleetFromJson(aRecords);
+  if (!fleet) {
+    spdlog::error("event=records_unreadable error=\"{}\"",
+                  fleet.error().Text());
+    return;
+  }
+  recordsRevision_ = aRevision;
+  records_ = std::move(*fleet);
+  mailboxes_.requests_.Post(RecordsInForce{ records_ });
+  mailboxes_.peers_.Post(RecordsHeld{ aRevision, aRecords });
+}
+
 NodeStatus FleetTask::Status() const
 {
   NodeStatus status;
@@ -207,6 +237,7 @@
   }
   status.platformCalls_ = platform_->Calls();
   status.isWatcher_ = peers_.IsWatcher();
+  status.isSteward_ = steward_->HoldsLease();
   status.stopping_ = stopping_;
   return status;
 }
@@ -256,6 +287,16 @@
   MergeVms(aMessage.page_);
 }
 
+void FleetTask::Handle(const PeerRecords& aMessage)
+{
+  AdoptRecords(aMessage.revision_, aMessage.records_);
+}
+
+void FleetTask::Handle(const OwnQuiet& aMessage)
+{
+  steward_->SetOwnQuiet(aMessage.quiet_);
+}
+
 void FleetTask::Handle(const PeerSeen& aMessage)
 {
   peers_.Merge(aMessage.report_);
--- a/lib/Membership/PeerTable.cpp
+++ b/lib/Membership/PeerTable.cpp
@@ -2,6 +2,7 @@
 
 #include "coltsfootshed/Support/Digest.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace coltsfootshed {
@@ -85,6 +86,22 @@
   return demands;
 }
 
+bool PeerTable::AllQuiet(const QuietVm& aVm) const
+{
+  for (const auto& [node, entry] : entries_) {
+    const NodeReport& report = entry.report_;
+    bool hasStopped = report.stopping_ && !IsFresh(entry);
+    if (report.self_.dataCentre_ != self_.dataCentre_ || hasStopped) {
+      continue;
+    }
+    auto found = std::find(report.quiet_.begin(), report.quiet_.end(), aVm);
+    if (found == report.quiet_.end()) {
+      return false;
+    }
+  }
+  return true;
+}
+
 bool PeerTable::IsWatcher() const
 {
   std::uint64_t own = Hash64(self_.node_);
--- a/lib/Peers/Peer.capnp
+++ b/lib/Peers/Peer.capnp
@@ -29,6 +29,14 @@
   demands @4 :List(ServiceDemand);
   marks @5 :List(LeavingMark);
   known @6 :List(NodeAddress);
+  fleetRevision @7 :UInt64;  # records of the data centre
+  quiet @8 :List(QuietVm);
+}
+
+# A VM that is out under this fence and has no request of the node's under way.
+struct QuietVm {
+  vm @0 :Text;
+  fence @1 :UInt64;
 }
 
 struct Header {
@@ -63,4 +71,5 @@
   fetchSections @2 (digests :List(Text)) -> (sections :List(Text));
   fetchVms @3 (since :UInt64) -> (page :Text);
   handOver @4 (request :Handover) -> (answer :HandoverAnswer);
+  fetchRecords @5 () -> (revision :UInt64, records :Text);
 }
--- a/lib/Peers/Peer.capnp.c++
+++ b/lib/Peers/Peer.capnp.c++
@@ -213,73 +213,87 @@
   0, 3, i_8b284918a68bc383, nullptr, nullptr, { &s_8b284918a68bc383, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<136> b_a17883725ed2bed5 = {
+static const ::capnp::_::AlignedData<171> b_a17883725ed2bed5 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     213, 190, 210,  94, 114, 131, 120, 161,
-     11,   0,   0,   0,   1,   0,   3,   0,
+     11,   0,   0,   0,   1,   0,   4,   0,
       1,  72, 226, 181, 169, 243, 209, 199,
-      4,   0,   7,   0,   0,   0,   0,   0,
+      5,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 146,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 143,   1,   0,   0,
+     25,   0,   0,   0, 255,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      80, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  82, 101, 112, 111, 114,
     116,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     28,   0,   0,   0,   3,   0,   4,   0,
+     36,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    181,   0,   0,   0,  42,   0,   0,   0,
+    237,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    176,   0,   0,   0,   3,   0,   1,   0,
-    188,   0,   0,   0,   2,   0,   1,   0,
+    232,   0,   0,   0,   3,   0,   1,   0,
+    244,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    185,   0,   0,   0,  66,   0,   0,   0,
+    241,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    180,   0,   0,   0,   3,   0,   1,   0,
-    192,   0,   0,   0,   2,   0,   1,   0,
+    236,   0,   0,   0,   3,   0,   1,   0,
+    248,   0,   0,   0,   2,   0,   1,   0,
       2,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    189,   0,   0,   0,  90,   0,   0,   0,
+    245,   0,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    188,   0,   0,   0,   3,   0,   1,   0,
-    200,   0,   0,   0,   2,   0,   1,   0,
+    244,   0,   0,   0,   3,   0,   1,   0,
+      0,   1,   0,   0,   2,   0,   1,   0,
       3,   0,   0,   0, 128,   0,   0,   0,
       0,   0,   1,   0,   3,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    197,   0,   0,   0,  74,   0,   0,   0,
+    253,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    196,   0,   0,   0,   3,   0,   1,   0,
-    208,   0,   0,   0,   2,   0,   1,   0,
+    252,   0,   0,   0,   3,   0,   1,   0,
+      8,   1,   0,   0,   2,   0,   1,   0,
       4,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   4,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    205,   0,   0,   0,  66,   0,   0,   0,
+      5,   1,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    200,   0,   0,   0,   3,   0,   1,   0,
-    228,   0,   0,   0,   2,   0,   1,   0,
+      0,   1,   0,   0,   3,   0,   1,   0,
+     28,   1,   0,   0,   2,   0,   1,   0,
       5,   0,   0,   0,   2,   0,   0,   0,
       0,   0,   1,   0,   5,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    225,   0,   0,   0,  50,   0,   0,   0,
+     25,   1,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    220,   0,   0,   0,   3,   0,   1,   0,
-    248,   0,   0,   0,   2,   0,   1,   0,
+     20,   1,   0,   0,   3,   0,   1,   0,
+     48,   1,   0,   0,   2,   0,   1,   0,
       6,   0,   0,   0,   3,   0,   0,   0,
       0,   0,   1,   0,   6,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    245,   0,   0,   0,  50,   0,   0,   0,
+     45,   1,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   1,   0,   0,   3,   0,   1,   0,
+     68,   1,   0,   0,   2,   0,   1,   0,
+      7,   0,   0,   0,   3,   0,   0,   0,
+      0,   0,   1,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     65,   1,   0,   0, 114,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   1,   0,   0,   3,   0,   1,   0,
+     76,   1,   0,   0,   2,   0,   1,   0,
+      8,   0,   0,   0,   4,   0,   0,   0,
+      0,   0,   1,   0,   8,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   1,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    240,   0,   0,   0,   3,   0,   1,   0,
-     12,   1,   0,   0,   2,   0,   1,   0,
+     68,   1,   0,   0,   3,   0,   1,   0,
+     96,   1,   0,   0,   2,   0,   1,   0,
     115, 101, 108, 102,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
     131, 195, 139, 166,  24,  73,  40, 139,
@@ -347,6 +361,27 @@
     131, 195, 139, 166,  24,  73,  40, 139,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    102, 108, 101, 101, 116,  82, 101, 118,
+    105, 115, 105, 111, 110,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    113, 117, 105, 101, 116,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    239,  15,  23, 238,   8,  67,  93, 143,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
@@ -356,13 +391,72 @@
 static const ::capnp::_::RawSchema* const d_a17883725ed2bed5[] = {
   &s_8416da3af9a46f2e,
   &s_8b284918a68bc383,
+  &s_8f5d4308ee170fef,
   &s_b47a8f10a87c185e,
 };
-static const uint16_t m_a17883725ed2bed5[] = {4, 6, 5, 0, 3, 1, 2};
-static const uint16_t i_a17883725ed2bed5[] = {0, 1, 2, 3, 4, 5, 6};
+static const uint16_t m_a17883725ed2bed5[] = {4, 7, 6, 5, 8, 0, 3, 1, 2};
+static const uint16_t i_a17883725ed2bed5[] = {0, 1, 2, 3, 4, 5, 6, 7, 8};
 const ::capnp::_::RawSchema s_a17883725ed2bed5 = {
-  0xa17883725ed2bed5, b_a17883725ed2bed5.words, 136, d_a17883725ed2bed5, m_a17883725ed2bed5,
-  3, 7, i_a17883725ed2bed5, nullptr, nullptr, { &s_a17883725ed2bed5, nullptr, nullptr, 0, 0, nullptr }
+  0xa17883725ed2bed5, b_a17883725ed2bed5.words, 171, d_a17883725ed2bed5, m_a17883725ed2bed5,
+  4, 9, i_a17883725ed2bed5, nullptr, nullptr, { &s_a17883725ed2bed5, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<47> b_8f5d4308ee170fef = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    239,  15,  23, 238,   8,  67,  93, 143,
+     11,   0,   0,   0,   1,   0,   1,   0,
+      1,  72, 226, 181, 169, 243, 209, 199,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 154,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     80, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  81, 117, 105, 101, 116,
+     86, 109,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  26,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    118, 109,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    102, 101, 110,  99, 101,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_8f5d4308ee170fef = b_8f5d4308ee170fef.words;
+#if !CAPNP_LITE
+static const uint16_t m_8f5d4308ee170fef[] = {1, 0};
+static const uint16_t i_8f5d4308ee170fef[] = {0, 1};
+const ::capnp::_::RawSchema s_8f5d4308ee170fef = {
+  0x8f5d4308ee170fef, b_8f5d4308ee170fef.words, 47, nullptr, m_8f5d4308ee170fef,
+  0, 2, i_8f5d4308ee170fef, nullptr, nullptr, { &s_8f5d4308ee170fef, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<47> b_e7c96245f4e6832f = {
@@ -708,7 +802,7 @@
   1, 4, i_da60aff846b6e016, nullptr, nullptr, { &s_da60aff846b6e016, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<72> b_88dc80c8952fea72 = {
+static const ::capnp::_::AlignedData<83> b_88dc80c8952fea72 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     114, 234,  47, 149, 200, 128, 220, 136,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -718,53 +812,61 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  71,   1,   0,   0,
-    241,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0, 135,   1,   0,   0,
+     29,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      80, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     20,   0,   0,   0,   3,   0,   5,   0,
+     24,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     158,  53, 143,  56, 227,  21, 200, 190,
      29, 142,  45, 115, 184,  49, 129, 134,
-    145,   0,   0,   0,  74,   0,   0,   0,
+    177,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    137,   0,   0,   0,   7,   0,   0,   0,
+    169,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
      19,  47, 206,  47, 192, 101, 126, 143,
      66,  74,  28, 252, 183, 154, 116, 172,
-    125,   0,   0,   0,  82,   0,   0,   0,
+    157,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    117,   0,   0,   0,   7,   0,   0,   0,
+    149,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     177, 232,  58, 194,  24,  90,  59, 207,
     103, 109, 126, 235,  18,  10, 194, 132,
-    105,   0,   0,   0, 114,   0,   0,   0,
+    137,   0,   0,   0, 114,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     97,   0,   0,   0,   7,   0,   0,   0,
+    129,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
       8,  86, 180, 167,   2,  14, 249, 200,
      48, 205,  72,  73, 244, 214, 245, 213,
-     85,   0,   0,   0,  74,   0,   0,   0,
+    117,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     77,   0,   0,   0,   7,   0,   0,   0,
+    109,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     206, 191,   4, 245, 230, 237, 164, 208,
      77, 218, 239, 169, 254, 171, 215, 223,
-     65,   0,   0,   0,  74,   0,   0,   0,
+     97,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     57,   0,   0,   0,   7,   0,   0,   0,
+     89,   0,   0,   0,   7,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+     70, 232,  34, 228, 159,   3, 220, 150,
+    242,  62, 222, 171, 196,  41, 244, 214,
+     77,   0,   0,   0, 106,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,   7,   0,   0,   0,
     101, 120,  99, 104,  97, 110, 103, 101,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -780,6 +882,9 @@
     104,  97, 110, 100,  79, 118, 101, 114,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    102, 101, 116,  99, 104,  82, 101,  99,
+    111, 114, 100, 115,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_88dc80c8952fea72 = b_88dc80c8952fea72.words;
@@ -788,18 +893,20 @@
   &s_84c20a12eb7e6d67,
   &s_868131b8732d8e1d,
   &s_8f7e65c02fce2f13,
+  &s_96dc039fe422e846,
   &s_ac749ab7fc1c4a42,
   &s_bec815e3388f359e,
   &s_c8f90e02a7b45608,
   &s_cf3b5a18c23ae8b1,
   &s_d0a4ede6f504bfce,
   &s_d5f5d6f44948cd30,
+  &s_d6f429c4abde3ef2,
   &s_dfd7abfea9efda4d,
 };
-static const uint16_t m_88dc80c8952fea72[] = {0, 1, 2, 3, 4};
+static const uint16_t m_88dc80c8952fea72[] = {0, 1, 5, 2, 3, 4};
 const ::capnp::_::RawSchema s_88dc80c8952fea72 = {
-  0x88dc80c8952fea72, b_88dc80c8952fea72.words, 72, d_88dc80c8952fea72, m_88dc80c8952fea72,
-  10, 5, nullptr, nullptr, nullptr, { &s_88dc80c8952fea72, nullptr, nullptr, 0, 0, nullptr }
+  0x88dc80c8952fea72, b_88dc80c8952fea72.words, 83, d_88dc80c8952fea72, m_88dc80c8952fea72,
+  12, 6, nullptr, nullptr, nullptr, { &s_88dc80c8952fea72, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<32> b_bec815e3388f359e = {
@@ -1242,6 +1349,92 @@
   1, 1, i_dfd7abfea9efda4d, nullptr, nullptr, { &s_dfd7abfea9efda4d, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_96dc039fe422e846 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     70, 232,  34, 228, 159,   3, 220, 150,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  34,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     80, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    102, 101, 116,  99, 104,  82, 101,  99,
+    111, 114, 100, 115,  36,  80,  97, 114,
+     97, 109, 115,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_96dc039fe422e846 = b_96dc039fe422e846.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_96dc039fe422e846 = {
+  0x96dc039fe422e846, b_96dc039fe422e846.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_96dc039fe422e846, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<49> b_d6f429c4abde3ef2 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    242,  62, 222, 171, 196,  41, 244, 214,
+     16,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  42,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     80, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    102, 101, 116,  99, 104,  82, 101,  99,
+    111, 114, 100, 115,  36,  82, 101, 115,
+    117, 108, 116, 115,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     49,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     44,   0,   0,   0,   3,   0,   1,   0,
+     56,   0,   0,   0,   2,   0,   1,   0,
+    114, 101, 118, 105, 115, 105, 111, 110,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101,  99, 111, 114, 100, 115,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d6f429c4abde3ef2 = b_d6f429c4abde3ef2.words;
+#if !CAPNP_LITE
+static const uint16_t m_d6f429c4abde3ef2[] = {1, 0};
+static const uint16_t i_d6f429c4abde3ef2[] = {0, 1};
+const ::capnp::_::RawSchema s_d6f429c4abde3ef2 = {
+  0xd6f429c4abde3ef2, b_d6f429c4abde3ef2.words, 49, nullptr, m_d6f429c4abde3ef2,
+  0, 2, i_d6f429c4abde3ef2, nullptr, nullptr, { &s_d6f429c4abde3ef2, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -1282,6 +1475,14 @@
 constexpr ::capnp::_::RawSchema const* Report::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// QuietVm
+constexpr uint16_t QuietVm::_capnpPrivate::dataWordSize;
+constexpr uint16_t QuietVm::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind QuietVm::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* QuietVm::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // Header
 constexpr uint16_t Header::_capnpPrivate::dataWordSize;
 constexpr uint16_t Header::_capnpPrivate::pointerCount;
@@ -1357,6 +1558,16 @@
       "Peer.capnp:Peer", "handOver",
       0x88dc80c8952fea72ull, 4);
 }
+::capnp::Request< ::coltsfootshed::wire::Peer::FetchRecordsParams,  ::coltsfootshed::wire::Peer::FetchRecordsResults>
+Peer::Client::fetchRecordsRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::coltsfootshed::wire::Peer::FetchRecordsParams,  ::coltsfootshed::wire::Peer::FetchRecordsResults>(
+      0x88dc80c8952fea72ull, 5, sizeHint);
+}
+::kj::Promise<void> Peer::Server::fetchRecords(FetchRecordsContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "Peer.capnp:Peer", "fetchRecords",
+      0x88dc80c8952fea72ull, 5);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -1401,6 +1612,12 @@
              ::coltsfootshed::wire::Peer::HandOverParams,  ::coltsfootshed::wire::Peer::HandOverResults>(context)),
         false
       };
+    case 5:
+      return {
+        fetchRecords(::capnp::Capability::Server::internalGetTypedContext<
+             ::coltsfootshed::wire::Peer::FetchRecordsParams,  ::coltsfootshed::wire::Peer::FetchRecordsResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -1496,6 +1713,22 @@
 constexpr ::capnp::_::RawSchema const* Peer::HandOverResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::FetchRecordsParams
+constexpr uint16_t Peer::FetchRecordsParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::FetchRecordsParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::FetchRecordsParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::FetchRecordsParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::FetchRecordsResults
+constexpr uint16_t Peer::FetchRecordsResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::FetchRecordsResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::FetchRecordsResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::FetchRecordsResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/lib/Peers/Peer.capnp.h
+++ b/lib/Peers/Peer.capnp.h
@@ -23,6 +23,7 @@
 CAPNP_DECLARE_SCHEMA(8416da3af9a46f2e);
 CAPNP_DECLARE_SCHEMA(8b284918a68bc383);
 CAPNP_DECLARE_SCHEMA(a17883725ed2bed5);
+CAPNP_DECLARE_SCHEMA(8f5d4308ee170fef);
 CAPNP_DECLARE_SCHEMA(e7c96245f4e6832f);
 CAPNP_DECLARE_SCHEMA(da525b44d5b8b8cb);
 CAPNP_DECLARE_SCHEMA(da60aff846b6e016);
@@ -37,6 +38,8 @@
 CAPNP_DECLARE_SCHEMA(d5f5d6f44948cd30);
 CAPNP_DECLARE_SCHEMA(d0a4ede6f504bfce);
 CAPNP_DECLARE_SCHEMA(dfd7abfea9efda4d);
+CAPNP_DECLARE_SCHEMA(96dc039fe422e846);
+CAPNP_DECLARE_SCHEMA(d6f429c4abde3ef2);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -97,7 +100,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a17883725ed2bed5, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(a17883725ed2bed5, 4, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QuietVm {
+  QuietVm() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8f5d4308ee170fef, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -167,6 +185,8 @@
   struct FetchVmsResults;
   struct HandOverParams;
   struct HandOverResults;
+  struct FetchRecordsParams;
+  struct FetchRecordsResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -326,6 +346,36 @@
   };
 };
 
+struct Peer::FetchRecordsParams {
+  FetchRecordsParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(96dc039fe422e846, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::FetchRecordsResults {
+  FetchRecordsResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d6f429c4abde3ef2, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class ServiceDemand::Reader {
@@ -641,6 +691,11 @@
   inline bool hasKnown() const;
   inline  ::capnp::List< ::coltsfootshed::wire::NodeAddress,  ::capnp::Kind::STRUCT>::Reader getKnown() const;
 
+  inline  ::uint64_t getFleetRevision() const;
+
+  inline bool hasQuiet() const;
+  inline  ::capnp::List< ::coltsfootshed::wire::QuietVm,  ::capnp::Kind::STRUCT>::Reader getQuiet() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -706,6 +761,16 @@
   inline void adoptKnown(::capnp::Orphan< ::capnp::List< ::coltsfootshed::wire::NodeAddress,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::coltsfootshed::wire::NodeAddress,  ::capnp::Kind::STRUCT>> disownKnown();
 
+  inline  ::uint64_t getFleetRevision();
+  inline void setFleetRevision( ::uint64_t value);
+
+  inline bool hasQuiet();
+  inline  ::capnp::List< ::coltsfootshed::wire::QuietVm,  ::capnp::Kind::STRUCT>::Builder getQuiet();
+  inline void setQuiet( ::capnp::List< ::coltsfootshed::wire::QuietVm,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::coltsfootshed::wire::QuietVm,  ::capnp::Kind::STRUCT>::Builder initQuiet(unsigned int size);
+  inline void adoptQuiet(::capnp::Orphan< ::capnp::List< ::coltsfootshed::wire::QuietVm,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::coltsfootshed::wire::QuietVm,  ::capnp::Kind::STRUCT>> disownQuiet();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -733,6 +798,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class QuietVm::Reader {
+public:
+  typedef QuietVm Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVm() const;
+  inline  ::capnp::Text::Reader getVm() const;
+
+  inline  ::uint64_t getFence() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuietVm::Builder {
+public:
+  typedef QuietVm Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVm();
+  inline  ::capnp::Text::Builder getVm();
+  inline void setVm( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVm(unsigned int size);
+  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVm();
+
+  inline  ::uint64_t getFence();
+  inline void setFence( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuietVm::Pipeline {
+public:
+  typedef QuietVm Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Header::Reader {
 public:
   typedef Header Reads;
@@ -1110,6 +1261,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::coltsfootshed::wire::Peer::HandOverParams,  ::coltsfootshed::wire::Peer::HandOverResults> handOverRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::coltsfootshed::wire::Peer::FetchRecordsParams,  ::coltsfootshed::wire::Peer::FetchRecordsResults> fetchRecordsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1146,6 +1299,10 @@
   typedef  ::coltsfootshed::wire::Peer::HandOverResults HandOverResults;
   typedef ::capnp::CallContext<HandOverParams, HandOverResults> HandOverContext;
   virtual ::kj::Promise<void> handOver(HandOverContext context);
+  typedef  ::coltsfootshed::wire::Peer::FetchRecordsParams FetchRecordsParams;
+  typedef  ::coltsfootshed::wire::Peer::FetchRecordsResults FetchRecordsResults;
+  typedef ::capnp::CallContext<FetchRecordsParams, FetchRecordsResults> FetchRecordsContext;
+  virtual ::kj::Promise<void> fetchRecords(FetchRecordsContext context);
 
   inline  ::coltsfootshed::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -1959,6 +2116,163 @@
 };
 #endif  // !CAPNP_LITE
 
+class Peer::FetchRecordsParams::Reader {
+public:
+  typedef FetchRecordsParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::FetchRecordsParams::Builder {
+public:
+  typedef FetchRecordsParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::FetchRecordsParams::Pipeline {
+public:
+  typedef FetchRecordsParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::FetchRecordsResults::Reader {
+public:
+  typedef FetchRecordsResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasRecords() const;
+  inline  ::capnp::Text::Reader getRecords() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::FetchRecordsResults::Builder {
+public:
+  typedef FetchRecordsResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasRecords();
+  inline  ::capnp::Text::Builder getRecords();
+  inline void setRecords( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRecords();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::FetchRecordsResults::Pipeline {
+public:
+  typedef FetchRecordsResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool ServiceDemand::Reader::hasService() const {
@@ -2356,6 +2670,102 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Report::Reader::getFleetRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Report::Builder::getFleetRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setFleetRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Report::Reader::hasQuiet() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Report::Builder::hasQuiet() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::coltsfootshed::wire::QuietVm,  ::capnp::Kind::STRUCT>::Reader Report::Reader::getQuiet() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::coltsfootshed::wire::QuietVm,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::coltsfootshed::wire::QuietVm,  ::capnp::Kind::STRUCT>::Builder Report::Builder::getQuiet() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::coltsfootshed::wire::QuietVm,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Report::Builder::setQuiet( ::capnp::List< ::coltsfootshed::wire::QuietVm,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::coltsfootshed::wire::QuietVm,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::coltsfootshed::wire::QuietVm,  ::capnp::Kind::STRUCT>::Builder Report::Builder::initQuiet(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::coltsfootshed::wire::QuietVm,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Report::Builder::adoptQuiet(
+    ::capnp::Orphan< ::capnp::List< ::coltsfootshed::wire::QuietVm,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::coltsfootshed::wire::QuietVm,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::coltsfootshed::wire::QuietVm,  ::capnp::Kind::STRUCT>> Report::Builder::disownQuiet() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::coltsfootshed::wire::QuietVm,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool QuietVm::Reader::hasVm() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuietVm::Builder::hasVm() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader QuietVm::Reader::getVm() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder QuietVm::Builder::getVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QuietVm::Builder::setVm( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder QuietVm::Builder::initVm(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void QuietVm::Builder::adoptVm(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> QuietVm::Builder::disownVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t QuietVm::Reader::getFence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuietVm::Builder::getFence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuietVm::Builder::setFence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Header::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3138,6 +3548,54 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Peer::FetchRecordsResults::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::FetchRecordsResults::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::FetchRecordsResults::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::FetchRecordsResults::Reader::hasRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::FetchRecordsResults::Builder::hasRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::FetchRecordsResults::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::FetchRecordsResults::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::FetchRecordsResults::Builder::setRecords( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::FetchRecordsResults::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::FetchRecordsResults::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::FetchRecordsResults::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/lib/Peers/PeerExchange.cpp
+++ b/lib/Peers/PeerExchange.cpp
@@ -202,6 +202,7 @@
 {
   own_.version_ = held_.head_.version_;
   own_.vmRevision_ = vms_.revision_;
+  own_.fleetRevision_ = records_.revision_;
   own_.marks_ = marks_.Marks();
   own_.known_.clear();
   std::vector<NodeAddress> known = peers_.Known();
@@ -249,6 +250,9 @@
   if (local && report->vmRevision_ > vms_.revision_) {
     FetchVms(report->self_.endpoint_);
   }
+  if (local && report->fleetRevision_ > records_.revision_) {
+    FetchRecords(report->self_.endpoint_);
+  }
   mailboxes_.fleet_.Post(PeerSeen{ *report });
   mailboxes_.requests_.Post(PeerReported{ std::move(*report) });
 }
@@ -328,6 +332,23 @@
                      [this](kj::Exception&&) { fetchingVms_ = false; }));
 }
 
+void PeerExchange::FetchRecords(const Endpoint& aEndpoint)
+{
+  wire::Peer::Client* peer = PeerAt(aEndpoint);
+  if (peer == nullptr || fetchingRecords_) {
+    return;
+  }
+  fetchingRecords_ = true;
+  auto fetched =
+    peer->fetchRecordsRequest().send().then([this](auto&& aResponse) {
+      mailboxes_.fleet_.Post(
+        PeerRecords{ aResponse.getRevision(), aResponse.getRecords().cStr() });
+    });
+  tasks_.add(timer_.timeoutAfter(kAnswerLimit, kj::mv(fetched))
+               .then([this] { fetchingRecords_ = false; },
+                     [this](kj::Exception&&) { fetchingRecords_ = false; }));
+}
+
 PeerContact* PeerExchange::ContactOf(std::string_view aNode)
 {
   for (auto& [endpoint, contact] : contacts_) {
@@ -355,6 +376,11 @@
 void PeerExchange::Handle(OwnLoads& aMessage)
 {
   own_.loads_ = std::move(aMessage.loads_);
+  bool news = own_.quiet_ != aMessage.quiet_;
+  own_.quiet_ = std::move(aMessage.quiet_);
+  if (news) {
+    ExchangeAtOnce();
+  }
 }
 
 void PeerExchange::Handle(MarksSeen& aMessage)
@@ -377,6 +403,12 @@
   marks_.MergeList(vms_.vms_);
 }
 
+void PeerExchange::Handle(RecordsHeld& aMessage)
+{
+  records_ = std::move(aMessage);
+  ExchangeAtOnce();
+}
+
 void PeerExchange::Handle(HandoverWanted& aMessage)
 {
   HandoverId id = aMessage.id_;
--- a/lib/Peers/PeerExchange.h
+++ b/lib/Peers/PeerExchange.h
@@ -33,6 +33,7 @@
   std::string HeadJson() const { return held_.head_.ToJson(); }
   const ConfigHeld& Held() const { return held_; }
   const VmListPage& Vms() const { return vms_; }
+  const RecordsHeld& Records() const { return records_; }
   /// Passes a handed-over request to the requests task.
   kj::Promise<RequestAnswer> Serve(CheckedRequest aRequest);
 
@@ -51,6 +52,7 @@
   void LearnAddresses(const NodeReport& aReport);
   void FetchConfig(const Endpoint& aEndpoint);
   void FetchVms(const Endpoint& aEndpoint);
+  void FetchRecords(const Endpoint& aEndpoint);
   PeerContact* ContactOf(std::string_view aNode);
   wire::Peer::Client* PeerAt(const Endpoint& aEndpoint);
   void EndHandover(HandoverEnded aNews);
@@ -59,6 +61,7 @@
   void Handle(MarksSeen& aMessage);
   void Handle(ConfigHeld& aMessage);
   void Handle(VmsHeld& aMessage);
+  void Handle(RecordsHeld& aMessage);
   void Handle(HandoverWanted& aMessage);
   void Handle(HandoverServed& aMessage);
   void Handle(PeersStopping& aMessage);
@@ -79,6 +82,8 @@
   std::size_t nextKnown_ = 0;
   std::uint64_t fetchingVersion_ = 0;
   bool fetchingVms_ = false;
+  RecordsHeld records_;
+  bool fetchingRecords_ = false;
   HandoverId lastServed_ = 0;
   std::map<HandoverId, kj::Own<kj::PromiseFulfiller<RequestAnswer>>> serving_;
   kj::Own<kj::PromiseFulfiller<void>> quit_;
--- a/lib/Peers/PeerServer.cpp
+++ b/lib/Peers/PeerServer.cpp
@@ -54,6 +54,14 @@
   return kj::READY_NOW;
 }
 
+kj::Promise<void> PeerServer::fetchRecords(FetchRecordsContext aContext)
+{
+  const RecordsHeld& held = exchange_.Records();
+  aContext.getResults().setRevision(held.revision_);
+  aContext.getResults().setRecords(held.records_);
+  return kj::READY_NOW;
+}
+
 kj::Promise<void> PeerServer::handOver(HandOverContext aContext)
 {
   auto request = ReadHandover(aContext.getParams().getRequest());
--- a/lib/Peers/PeerServer.h
+++ b/lib/Peers/PeerServer.h
@@ -18,6 +18,7 @@
   kj::Promise<void> fetchHead(FetchHeadContext aContext) override;
   kj::Promise<void> fetchSections(FetchSectionsContext aContext) override;
   kj::Promise<void> fetchVms(FetchVmsContext aContext) override;
+  kj::Promise<void> fetchRecords(FetchRecordsContext aContext) override;
   kj::Promise<void> handOver(HandOverContext aContext) override;
 
 private:
--- a/lib/Peers/Wire.cpp
+++ b/lib/Peers/Wire.cpp
@@ -55,6 +55,12 @@
     marks[i].setVm(aReport.marks_[i].vm_);
     marks[i].setRevision(aReport.marks_[i].revision_);
   }
+  aOut.setFleetRevision(aReport.fleetRevision_);
+  auto quiet = aOut.initQuiet(aReport.quiet_.size());
+  for (unsigned i = 0; i < quiet.size(); ++i) {
+    quiet[i].setVm(aReport.quiet_[i].vm_);
+    quiet[i].setFence(aReport.quiet_[i].fence_);
+  }
   auto known = aOut.initKnown(aReport.known_.size());
   for (unsigned i = 0; i < known.size(); ++i) {
     WriteAddress(aReport.known_[i], known[i]);
@@ -79,6 +85,10 @@
   for (auto item : aIn.getMarks()) {
     out.marks_.push_back({ TextOf(item.getVm()), item.getRevision() });
   }
+  out.fleetRevision_ = aIn.getFleetRevision();
+  for (auto item : aIn.getQuiet()) {
+    out.quiet_.push_back({ TextOf(item.getVm()), item.getFence() });
+  }
   for (auto item : aIn.getKnown()) {
     auto address = ReadAddress(item);
     if (!address) {
--- a/lib/Platform/Client.cpp
+++ b/lib/Platform/Client.cpp
@@ -128,6 +128,33 @@
   Call({ "GET", target, {}, "" }, kCallLimit, std::move(onEnd));
 }
 
+void PlatformClient::HoldLease(std::string_view aName,
+                               std::string_view aHolder,
+                               Millis aTime,
+                               OnHeld aOnHeld)
+{
+  std::string target = "/lease/" + std::string(aName) +
+                       "?holder=" + std::string(aHolder) +
+                       "&ttl_ms=" + std::to_string(aTime.count());
+  Call({ "POST", target, {}, "" },
+       kCallLimit,
+       [onHeld = std::move(aOnHeld)](const CallResult& aResult) {
+         onHeld(aResult.end_ == CallEnd::Answered &&
+                aResult.answer_.code_ == 200);
+       });
+}
+
+void PlatformClient::Reboot(std::string_view aVm,
+                            std::string_view aOperation,
+                            std::function<void()> aOnEnd)
+{
+  std::string target =
+    "/reboot/" + std::string(aVm) + "?operation=" + std::string(aOperation);
+  Call({ "POST", target, {}, "" },
+       kCallLimit,
+       [onEnd = std::move(aOnEnd)](const CallResult&) { onEnd(); });
+}
+
 std::string VmsToJson(std::uint64_t aRevision,
                       std::span<const VmRecord> aRecords)
 {
@@ -138,6 +165,7 @@
                     { "rack", record.rack_ },
                     { "address", record.endpoint_.Text() },
                     { "leaving", record.leaving_ },
+                    { "rebooted", record.rebooted_ },
                     { "revision", record.revision_ } });
   }
   return nlohmann::json{ { "revision", aRevision }, { "vms", vms } }.dump();
@@ -155,6 +183,7 @@
       item.at("data_centre").get_to(record.dataCentre_);
       item.at("rack").get_to(record.rack_);
       item.at("leaving").get_to(record.leaving_);
+      record.rebooted_ = item.value("rebooted", "");
       item.at("revision").get_to(record.revision_);
       auto endpoint = ParseEndpoint(item.at("address").get<std::string>());
       if (!endpoint) {
--- a/lib/Requests/Dispatcher.cpp
+++ b/lib/Requests/Dispatcher.cpp
@@ -57,16 +57,71 @@
   }
 }
 
+void Dispatcher::SetRecords(FleetState aFleet)
+{
+  fleet_ = std::move(aFleet);
+  UpdateTargets();
+}
+
+std::vector<QuietVm> Dispatcher::QuietVms() const
+{
+  std::vector<QuietVm> out;
+  for (const auto& [vm, entry] : fleet_.vms_) {
+    if (entry.state_ == VmState::Serving) {
+      continue;
+    }
+    bool busy =
+      std::any_of(lanes_.begin(), lanes_.end(), [&vm = vm](const auto& aLane) {
+        return aLane.second->chooser_.Running(vm) > 0;
+      });
+    if (!busy) {
+      out.push_back({ vm, entry.fence_ });
+    }
+  }
+  return out;
+}
+
+/// Members by pool that may get new work. A VM's record goes before the
+/// document, which only says where it should be.
+PoolMembers Dispatcher::MembersByPool() const
+{
+  PoolMembers members;
+  for (const auto& [name, pool] : document_->pools_) {
+    for (const std::string& vm : pool.vms_) {
+      auto record = fleet_.vms_.find(vm);
+      bool recorded = record != fleet_.vms_.end();
+      bool out = recorded && record->second.state_ != VmState::Serving;
+      bool drained = std::find(pool.drain_.begin(), pool.drain_.end(), vm) !=
+                     pool.drain_.end();
+      if (!out && !drained && IsLocalTarget(vm)) {
+        members[recorded ? record->second.pool_ : name].push_back(vm);
+      }
+    }
+  }
+  return members;
+}
+
+bool Dispatcher::IsLocalTarget(const std::string& aVm) const
+{
+  const VmRecord* record = vms_.Find(aVm);
+  return record != nullptr && record->dataCentre_ == self_.dataCentre_ &&
+         !vms_.IsLeaving(aVm);
+}
+
 void Dispatcher::UpdateTargets()
 {
-  static const PoolSpec kNoPool;
+  if (document_ == nullptr) {
+    return;
+  }
+  PoolMembers members = MembersByPool();
   for (auto& [name, lane] : lanes_) {
     // A service that has left the document has no targets, but what it
     // accepted before still ends properly.
     bool known = document_->services_.contains(name);
-    const PoolSpec& pool =
-      known ? document_->pools_.at(lane->Spec().pool_) : kNoPool;
-    lane->UpdateTargets(pool, vms_, peers_, self_.dataCentre_, self_.node_);
+    lane->UpdateTargets(known ? members[lane->Spec().pool_]
+                              : std::vector<std::string>(),
+                        peers_,
+                        self_.node_);
   }
 }
 
--- a/lib/Requests/RequestsTask.cpp
+++ b/lib/Requests/RequestsTask.cpp
@@ -125,10 +125,20 @@
 void RequestsTask::OnTick()
 {
   dispatcher_->OnTick();
-  mailboxes_.peers_.Post(OwnLoads{ dispatcher_->TakeLoads() });
+  TellQuiet();
   tick_->Start(kTick);
 }
 
+void RequestsTask::TellQuiet()
+{
+  std::vector<QuietVm> quiet = dispatcher_->QuietVms();
+  mailboxes_.peers_.Post(OwnLoads{ dispatcher_->TakeLoads(), quiet });
+  if (quiet != quietTold_) {
+    quietTold_ = quiet;
+    mailboxes_.fleet_.Post(OwnQuiet{ std::move(quiet) });
+  }
+}
+
 void RequestsTask::Handle(DocumentInForce aMessage)
 {
   dispatcher_->SetDocument(std::move(aMessage.document_));
@@ -139,6 +149,11 @@
   dispatcher_->MergeVms(aMessage.vms_);
 }
 
+void RequestsTask::Handle(RecordsInForce aMessage)
+{
+  dispatcher_->SetRecords(std::move(aMessage.fleet_));
+}
+
 void RequestsTask::Handle(const PeerReported& aMessage)
 {
   dispatcher_->MergeReport(aMessage.report_);
--- a/lib/Requests/ServiceLane.cpp
+++ b/lib/Requests/ServiceLane.cpp
@@ -26,30 +26,11 @@
   budget_.SetRatio(aSpec.retryRatio_);
 }
 
-static bool MayGetWork(const std::string& aVm,
-                       const PoolSpec& aPool,
-                       const VmTable& aVms,
-                       std::string_view aDataCentre)
-{
-  const VmRecord* record = aVms.Find(aVm);
-  bool draining = std::find(aPool.drain_.begin(), aPool.drain_.end(), aVm) !=
-                  aPool.drain_.end();
-  return record != nullptr && record->dataCentre_ == aDataCentre && !draining &&
-         !aVms.IsLeaving(aVm);
-}
-
-void ServiceLane::UpdateTargets(const PoolSpec& aPool,
-                                const VmTable& aVms,
+void ServiceLane::UpdateTargets(std::vector<std::string> aTargets,
                                 const PeerTable& aPeers,
-                                std::string_view aDataCentre,
                                 std::string_view aNode)
 {
-  std::vector<std::string> targets;
-  for (const std::string& vm : aPool.vms_) {
-    if (MayGetWork(vm, aPool, aVms, aDataCentre)) {
-      targets.push_back(vm);
-    }
-  }
+  std::vector<std::string> targets = std::move(aTargets);
   std::sort(targets.begin(), targets.end());
   Demands demands = aPeers.LocalDemands(name_, reportedDemand_);
   std::vector<std::int64_t> counts =
--- a/test/e2e/cluster.py
+++ b/test/e2e/cluster.py
@@ -136,9 +136,9 @@
                                     target.slots)
         wait_for(lambda: self.target_state(target), f"target {target.name}")
 
-    def list_vm(self, target, leaving=False, address=None):
+    def list_vm(self, target, leaving=False, address=None, rebooted=""):
         record = {"name": target.name, "data_centre": target.data_centre,
-                  "rack": target.data_centre + "-r1",
+                  "rack": target.data_centre + "-r1", "rebooted": rebooted,
                   "address": address or target.address, "leaving": leaving}
         status, _, text = call(self.control, "POST", "/vms",
                                json.dumps(record))
--- a/test/e2e/run.py
+++ b/test/e2e/run.py
@@ -8,9 +8,10 @@
 import traceback
 
 import failure_tests
+import fleet_tests
 import request_tests
 
-TESTS = {**request_tests.TESTS, **failure_tests.TESTS}
+TESTS = {**request_tests.TESTS, **failure_tests.TESTS, **fleet_tests.TESTS}
 
 
 def main():
--- a/test/standins/platform-standin.cpp
+++ b/test/standins/platform-standin.cpp
@@ -12,6 +12,7 @@
 #include <event2/event.h>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <set>
 
 using namespace coltsfootshed;
 using Json = nlohmann::json;
@@ -114,6 +115,12 @@
     }
     if (path == "/vms") {
       OnListVms(aExchange);
+    } else if (path.starts_with("/lease/")) {
+      OnLease(aExchange, path.substr(7));
+    } else if (path.starts_with("/reboot/")) {
+      std::string operation = QueryValue(request.target_, "operation");
+      reboots_[path.substr(8)].insert(operation);
+      Send(aExchange, { 200, {}, "" });
     } else if (!path.starts_with("/kv/")) {
       Send(aExchange, { 404, {}, "no such path\n" });
     } else if (request.method_ == "PUT") {
@@ -155,6 +162,20 @@
     Send(aExchange, ValueAnswer(aKey));
   }
 
+  void OnLease(const Exchange& aExchange, const std::string& aName)
+  {
+    const std::string& target = aExchange->Request().target_;
+    std::string holder = QueryValue(target, "holder");
+    Millis now = clock_.Now();
+    Lease& lease = leases_[aName];
+    if (lease.holder_ != holder && lease.until_ > now) {
+      Send(aExchange, { 409, {}, "" });
+      return;
+    }
+    lease = { holder, now + Millis(std::stoll(QueryValue(target, "ttl_ms"))) };
+    Send(aExchange, { 200, {}, "" });
+  }
+
   void OnListVms(const Exchange& aExchange)
   {
     const std::string& target = aExchange->Request().target_;
@@ -180,7 +201,9 @@
       } else if (request.target_ == "/switches") {
         SetSwitches(Json::parse(request.body_));
       }
-      Json state = { { "calls", calls_ }, { "watches", watches_.size() } };
+      Json state = { { "calls", calls_ },
+                     { "watches", watches_.size() },
+                     { "reboots", reboots_ } };
       aExchange->Reply({ 200, {}, state.dump() + "\n" });
     } catch (const std::exception& error) {
       aExchange->Reply({ 400, {}, std::string(error.what()) + "\n" });
@@ -209,7 +232,15 @@
     switches_.vmLagMs_ = aJson.value("vm_lag_ms", switches_.vmLagMs_);
   }
 
+  struct Lease
+  {
+    std::string holder_;
+    Millis until_{ 0 };
+  };
+
   SteadyClock clock_;
+  std::map<std::string, Lease> leases_;
+  std::map<std::string, std::set<std::string>> reboots_; ///< asked for, by VM
   Switches switches_;
   std::uint64_t revision_ = 0;
   std::uint64_t calls_ = 0;
--- a/tools/coltsfootctl/Commands.cpp
+++ b/tools/coltsfootctl/Commands.cpp
@@ -28,6 +28,8 @@
          "  config submit FILE  submit a document edited from --from\n"
          "  config show         print the document in force\n"
          "  status              print the state of one entry VM\n"
+         "  vms                 print the VMs of its data centre\n"
+         "  waves               print the progress of waves there\n"
          "  top                 print histograms per tenant and class\n"
          "Exit codes: 0 ok, 1 failed, 2 bad input, 3 conflict, 4 undecided";
 }
@@ -208,6 +210,66 @@
   return kExitOk;
 }
 
+/// The answer of /v1/fleet, or nothing after an error was printed.
+static std::optional<Json> AskFleet(const CommandContext& aContext)
+{
+  auto answer = ClientOf(aContext).Call("GET", "/v1/fleet", "");
+  if (!answer) {
+    Complain(answer.error());
+    return std::nullopt;
+  }
+  Json fleet = Json::parse(answer->body_, nullptr, false);
+  if (!fleet.is_object()) {
+    return std::nullopt;
+  }
+  return fleet;
+}
+
+static int ShowVms(const CommandContext& aContext, const std::string&)
+{
+  if (aContext.json_) {
+    return PrintPath(aContext, "/v1/fleet");
+  }
+  auto fleet = AskFleet(aContext);
+  if (!fleet) {
+    return kExitFailed;
+  }
+  std::printf("%-24s %-16s %-10s %s\n", "vm", "pool", "state", "operation");
+  for (const auto& [name, item] : (*fleet)["records"]["vms"].items()) {
+    std::printf("%-24s %-16s %-10s %s\n",
+                name.c_str(),
+                item["pool"].get<std::string>().c_str(),
+                item["state"].get<std::string>().c_str(),
+                item["operation"].get<std::string>().c_str());
+  }
+  return kExitOk;
+}
+
+static int ShowWaves(const CommandContext& aContext, const std::string&)
+{
+  auto fleet = AskFleet(aContext);
+  if (!fleet) {
+    return kExitFailed;
+  }
+  const Json& vms = (*fleet)["records"]["vms"];
+  std::printf("%-24s %-8s %6s %8s\n", "wave", "paused", "done", "running");
+  for (const auto& [wave, item] : (*fleet)["waves"].items()) {
+    int done = 0;
+    int running = 0;
+    for (const auto& [name, vm] : vms.items()) {
+      auto in = vm["waves"].get<std::set<std::string>>();
+      done += in.contains(wave) ? 1 : 0;
+      running += vm["operation"] == "wave/" + wave ? 1 : 0;
+    }
+    std::printf("%-24s %-8s %6d %8d\n",
+                wave.c_str(),
+                item["paused"].get<bool>() ? "yes" : "no",
+                done,
+                running);
+  }
+  return kExitOk;
+}
+
 static void PrintHistogram(const Json& aBuckets)
 {
   constexpr std::size_t kWidth = 50;
@@ -264,11 +326,13 @@
 
 } // namespace
 
-static constexpr std::array<Command, 5> kCommands = {
+static constexpr std::array<Command, 7> kCommands = {
   { { "config check", true, &CheckConfig },
     { "config submit", true, &SubmitConfig },
     { "config show", false, &ShowConfig },
     { "status", false, &ShowStatus },
+    { "vms", false, &ShowVms },
+    { "waves", false, &ShowWaves },
     { "top", false, &ShowTop } }
 };
 
