--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -6,9 +6,11 @@
 #include "Peers/Wire.h"
 #include "coltsfootshed/Admission/ServiceQueue.h"
 #include "coltsfootshed/Config/ConfigKeeper.h"
+#include "coltsfootshed/Fleet/FleetPlanner.h"
 #include "coltsfootshed/Membership/PeerTable.h"
 #include "coltsfootshed/Metrics/RequestMetrics.h"
 #include "coltsfootshed/Platform/Client.h"
+#include "coltsfootshed/Requests/Dispatcher.h"
 #include "coltsfootshed/Routing/SlotShares.h"
 
 #include <array>
@@ -213,6 +215,118 @@
   }
 }
 
+namespace {
+
+/// Takes what a dispatcher without requests never asks for.
+class NoOutlets final
+  : public TargetOutlet
+  , public PeerOutlet
+{
+public:
+  AttemptId Start(const AttemptTarget&,
+                  const HttpRequest&,
+                  Millis,
+                  bool,
+                  AttemptEvents) override
+  {
+    return 0;
+  }
+  void Abandon(AttemptId) override {}
+  bool MayHaveSent(AttemptId) const override { return false; }
+  void Probe(const AttemptTarget&, std::function<void(bool)>) override {}
+  void CloseIdle(const Endpoint&) override {}
+  void HandOver(HandoverId, const std::string&, const CheckedRequest&) override
+  {
+  }
+  void TellLeaving(const LeavingMark&) override {}
+};
+
+/// Nothing fails, and nothing is out.
+class AllWell final : public VmObserver
+{
+public:
+  bool IsFailed(std::string_view) const override { return false; }
+  bool IsQuiet(std::string_view, std::uint64_t) const override { return true; }
+  bool IsRebooted(std::string_view, std::string_view) const override
+  {
+    return true;
+  }
+  bool IsAnswering(std::string_view) const override { return true; }
+};
+
+} // namespace
+
+/// Ten ticks a second, whether or not requests come.
+static void MeasureTick()
+{
+  std::printf("\nrequest path without requests (one tick)\n"
+              "%8s %8s %12s %14s\n",
+              "workers",
+              "pools",
+              "tick us",
+              "%% of a core");
+  for (double part : kParts) {
+    SteadyClock clock;
+    NoOutlets outlets;
+    Dispatcher dispatcher(
+      clock, { "me", "dc1", { "10.0.0.1", 1 } }, outlets, outlets);
+    dispatcher.SetDocument(
+      std::make_shared<const Document>(ReadDocument(DocumentOf(part)).value()));
+    std::vector<VmRecord> list;
+    int workers = PartOf(kWorkers, part);
+    for (int i = 1; i < workers; i += kDataCentres) {
+      VmRecord record;
+      record.name_ = VmName(i);
+      record.dataCentre_ = "dc1";
+      record.endpoint_ = { "10.0.0.1", 8000 };
+      record.revision_ = 1;
+      list.push_back(record);
+    }
+    dispatcher.MergeVms(list);
+    double micros = CpuMicros([&] { dispatcher.OnTick(); });
+    std::printf("%8d %8d %12.0f %14.2f\n",
+                workers,
+                PartOf(kPools, part),
+                micros,
+                micros * 10 / 1e6 * 100);
+  }
+}
+
+/// Reads and one plan of a steward whose data centre has nothing to do.
+static void MeasureSteward()
+{
+  std::printf("\nsteward (one data centre)\n%8s %12s %12s %12s\n",
+              "VMs",
+              "records KB",
+              "parse us",
+              "plan us");
+  for (double part : kParts) {
+    int workers = PartOf(kWorkers, part);
+    Document document = ReadDocument(DocumentOf(part)).value();
+    FleetState fleet;
+    LocalVms local;
+    int pools = PartOf(kPools, part);
+    for (int i = 1; i < workers; i += kDataCentres) {
+      VmEntry& entry = fleet.vms_[VmName(i)];
+      entry.pool_ = "pool" + std::to_string(i % pools);
+      entry.fence_ = i;
+      local[VmName(i)] = "rack";
+    }
+    std::string text = fleet.ToJson();
+    AllWell observer;
+    double parse = CpuMicros([&] { (void)FleetFromJson(text); });
+    double plan = CpuMicros([&] {
+      FleetPlanner planner(document, "dc1", observer, local);
+      (void)planner.Next(fleet, {});
+    });
+    std::printf("%8zu %12.1f %12.0f %12.0f\n",
+                fleet.vms_.size(),
+                double(text.size()) / 1024,
+                parse,
+                plan);
+  }
+}
+
 static void MeasureShares()
 {
   std::printf("\nslot shares (one service, 3 entry VMs)\n%8s %12s\n",
@@ -307,6 +421,8 @@
   MeasureConfiguration();
   MeasureExchange();
   MeasureMembership();
+  MeasureTick();
+  MeasureSteward();
   MeasureShares();
   MeasureAdmission();
   MeasureMetrics();
--- a/include/coltsfootshed/Requests/ActiveRequest.h
+++ b/include/coltsfootshed/Requests/ActiveRequest.h
@@ -41,8 +41,7 @@
   bool mayHandOver_ = false;
   bool overdue_ = false; ///< ended by its deadline
   std::vector<RunningAttempt> attempts_;
-  HandoverId handover_ = 0; ///< hand-over under way, 0 if none
-  std::string handoverNode_;
+  HandoverId handover_ = 0;                  ///< hand-over under way, 0 if none
   std::set<std::string, std::less<>> tried_; ///< targets and nodes
 };
 
--- a/include/coltsfootshed/Requests/Dispatcher.h
+++ b/include/coltsfootshed/Requests/Dispatcher.h
@@ -7,8 +7,10 @@
 
 #include "coltsfootshed/Metrics/RequestMetrics.h"
 #include "coltsfootshed/Requests/ActiveRequest.h"
+#include "coltsfootshed/Requests/HandoverBook.h"
 #include "coltsfootshed/Requests/Messages.h"
 #include "coltsfootshed/Requests/ServiceLane.h"
+#include "coltsfootshed/Requests/TargetDirectory.h"
 
 #include <functional>
 #include <map>
@@ -33,10 +35,6 @@
   virtual void TellLeaving(const LeavingMark& aMark) = 0;
 };
 
-/// VMs by pool.
-using PoolMembers =
-  std::map<std::string, std::vector<std::string>, std::less<>>;
-
 class Dispatcher
 {
 public:
@@ -47,7 +45,10 @@
 
   void SetDocument(std::shared_ptr<const Document> aDocument);
   /// Null until the first configuration is in force.
-  const Document* CurrentDocument() const { return document_.get(); }
+  const Document* CurrentDocument() const
+  {
+    return directory_.CurrentDocument();
+  }
   void MergeVms(std::span<const VmRecord> aVms);
   void MergeReport(const NodeReport& aReport);
   /// Takes the data centre's records, newer than before.
@@ -84,17 +85,12 @@
   ActiveRequest* Find(RequestId aRequest);
   AttemptTarget TargetOf(const ServiceLane& aLane,
                          const std::string& aVm) const;
-  void UpdateTargets();
-  PoolMembers MembersByPool() const;
-  bool IsLocalTarget(const std::string& aVm) const;
+  void UpdateShares();
   void Enqueue(ActiveRequest& aRequest);
   void Pump(ServiceLane& aLane);
   void PumpRetries(ServiceLane& aLane);
   void PumpQueue(ServiceLane& aLane);
   void PumpOverflow(ServiceLane& aLane);
-  std::optional<std::string> FindHandoverNode(
-    const ServiceLane& aLane,
-    std::set<std::string, std::less<>> aTried) const;
   bool StartAttempt(ActiveRequest& aRequest);
   void StartHandover(ActiveRequest& aRequest, const std::string& aNode);
   void OnAttemptEnd(RequestId aRequest,
@@ -114,7 +110,6 @@
   void Finish(ActiveRequest& aRequest, RequestAnswer aAnswer);
   void ReleaseAttempts(ActiveRequest& aRequest);
   void ReleaseSlot(ActiveRequest& aRequest);
-  void ForgetHandover(ActiveRequest& aRequest);
   void ProbeSuspected(ServiceLane& aLane);
 
   const Clock& clock_;
@@ -122,17 +117,12 @@
   TargetOutlet& targets_;
   PeerOutlet& peerOutlet_;
   RequestMetrics metrics_;
-  std::shared_ptr<const Document> document_;
-  VmTable vms_;
-  FleetState fleet_;
+  TargetDirectory directory_;
   PeerTable peers_;
+  HandoverBook handovers_;
   std::map<std::string, std::unique_ptr<ServiceLane>, std::less<>> lanes_;
   Requests requests_;
   RequestId lastRequest_ = 0;
-  HandoverId lastHandover_ = 0;
-  std::unordered_map<HandoverId, RequestId> handovers_; ///< under way
-  std::map<std::string, std::int64_t, std::less<>> handoversByNode_;
-  std::map<std::string, Millis, std::less<>> pausedNodes_;
   std::set<std::pair<Millis, RequestId>> deadlines_;
 };
 
--- /dev/null
+++ b/include/coltsfootshed/Requests/HandoverBook.h
@@ -0,0 +1,57 @@
+/// \file
+/// Hand-overs under way, and the choice of the node for the next.
+#ifndef COLTSFOOTSHED_REQUESTS_HANDOVERBOOK_H
+#define COLTSFOOTSHED_REQUESTS_HANDOVERBOOK_H
+
+#include "coltsfootshed/Admission/TenantQueue.h"
+#include "coltsfootshed/Membership/PeerTable.h"
+#include "coltsfootshed/Peers/Messages.h"
+#include "coltsfootshed/Support/Clock.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace coltsfootshed {
+
+class HandoverBook
+{
+public:
+  explicit HandoverBook(const Clock& aClock);
+
+  /// Notes a hand-over to aNode under a new id.
+  HandoverId Begin(RequestId aRequest, const std::string& aNode);
+  /// The request of a hand-over that is under way.
+  std::optional<RequestId> RequestOf(HandoverId aId) const;
+  /// The node of a hand-over that is under way.
+  const std::string& NodeOf(HandoverId aId) const;
+  /// Forgets a hand-over; later news of it means nothing.
+  void End(HandoverId aId);
+  /// Leaves a node without a link out for a while.
+  void Pause(const std::string& aNode);
+  /// The node with most spare slots for a service, leaving out aTried.
+  std::optional<std::string> FindNode(
+    const PeerTable& aPeers,
+    std::string_view aService,
+    std::set<std::string, std::less<>> aTried) const;
+
+private:
+  struct Entry
+  {
+    RequestId request_ = 0;
+    std::string node_;
+  };
+
+  const Clock& clock_;
+  HandoverId last_ = 0;
+  std::unordered_map<HandoverId, Entry> entries_;
+  std::map<std::string, std::int64_t, std::less<>> countByNode_;
+  std::map<std::string, Millis, std::less<>> pausedUntil_;
+};
+
+} // namespace coltsfootshed
+
+#endif
--- a/include/coltsfootshed/Requests/ServiceLane.h
+++ b/include/coltsfootshed/Requests/ServiceLane.h
@@ -12,6 +12,7 @@
 
 #include <deque>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,8 +28,9 @@
   const ServiceSpec& Spec() const { return spec_; }
   const std::string& Name() const { return name_; }
 
-  /// Recomputes how many slots of each target this node may use.
-  void UpdateTargets(std::vector<std::string> aTargets,
+  /// Recomputes how many slots of each target this node may use. aTargets
+  /// must be in the same order on all nodes.
+  void UpdateTargets(std::span<const std::string> aTargets,
                      const PeerTable& aPeers,
                      std::string_view aNode);
   /// The load to report to peers. Shares are computed from reported demand.
--- a/include/coltsfootshed/Support/TableReader.h
+++ b/include/coltsfootshed/Support/TableReader.h
@@ -26,6 +26,11 @@
   std::string Text() const;
 };
 
+/// Parses TOML; a syntax error becomes a fault of aWhat.
+std::optional<toml::table> ParseToml(std::string_view aText,
+                                     std::string_view aWhat,
+                                     std::vector<Fault>& aFaults);
+
 /// Bounds and default of a whole number field.
 struct IntRule
 {
--- a/lib/Config/Document.cpp
+++ b/lib/Config/Document.cpp
@@ -166,15 +166,11 @@
 tl::expected<Document, std::vector<Fault>> ReadDocument(std::string_view aText)
 {
   std::vector<Fault> faults;
-  toml::table root;
-  try {
-    root = toml::parse(aText);
-  } catch (const toml::parse_error& error) {
-    faults.push_back({ error.source().begin.line,
-                       "document",
-                       "TOML, but: " + std::string(error.description()) });
+  auto parsed = ParseToml(aText, "document", faults);
+  if (!parsed) {
     return tl::unexpected(faults);
   }
+  const toml::table& root = *parsed;
   TableReader reader(root, "", faults);
   Document document;
   document.site_ = reader.RequiredText("site");
--- a/lib/Peers/PeerExchange.cpp
+++ b/lib/Peers/PeerExchange.cpp
@@ -11,7 +11,7 @@
 
 namespace coltsfootshed {
 
-static constexpr kj::Duration kPeriod = 500 * kj::MILLISECONDS;
+static constexpr kj::Duration kPeriod = 1 * kj::SECONDS;
 /// A link whose report is not answered in this time counts as silent.
 static constexpr kj::Duration kAnswerLimit = 2 * kj::SECONDS;
 static constexpr kj::Duration kConnectLimit = 1 * kj::SECONDS;
@@ -99,11 +99,13 @@
   for (auto& [endpoint, contact] : contacts_) {
     if (contact.link_ == nullptr) {
       Connect(contact);
-    } else if (contact.dataCentre_ == settings_.dataCentre_ ||
-               contact.node_.empty()) {
+    } else if (contact.node_.empty()) {
       Exchange(contact);
-    } else {
+    } else if (contact.dataCentre_ != settings_.dataCentre_) {
       remote.push_back(&contact);
+    } else if (settings_.node_ < contact.node_) {
+      // Both sides get a report of each exchange, so one of them asks.
+      Exchange(contact);
     }
   }
   if (!remote.empty()) {
--- a/lib/Requests/Dispatcher.cpp
+++ b/lib/Requests/Dispatcher.cpp
@@ -11,8 +11,6 @@
 static constexpr int kMostAttempts = 4;
 /// Attempts end on their own this long after the request's deadline.
 static constexpr Millis kAttemptSlack{ 1000 };
-/// A node without a link gets no hand-overs for this long.
-static constexpr Millis kUnreachablePause{ 250 };
 
 Dispatcher::Dispatcher(const Clock& aClock,
                        NodeAddress aSelf,
@@ -22,27 +20,35 @@
   , self_(aSelf)
   , targets_(aTargets)
   , peerOutlet_(aPeers)
+  , directory_(aSelf.dataCentre_)
   , peers_(aClock, std::move(aSelf))
+  , handovers_(aClock)
 {
 }
 
 void Dispatcher::SetDocument(std::shared_ptr<const Document> aDocument)
 {
-  document_ = std::move(aDocument);
-  for (const auto& [name, spec] : document_->services_) {
+  for (const auto& [name, spec] : aDocument->services_) {
     std::unique_ptr<ServiceLane>& lane = lanes_[name];
     if (lane == nullptr) {
       lane = std::make_unique<ServiceLane>(clock_, name, spec);
     }
     lane->SetSpec(spec);
   }
-  UpdateTargets();
+  directory_.SetDocument(std::move(aDocument));
+  UpdateShares();
 }
 
 void Dispatcher::MergeVms(std::span<const VmRecord> aVms)
 {
-  vms_.MergeList(aVms);
-  UpdateTargets();
+  directory_.MergeVms(aVms);
+  UpdateShares();
+}
+
+void Dispatcher::SetRecords(FleetState aRecords)
+{
+  directory_.SetRecords(std::move(aRecords));
+  UpdateShares();
 }
 
 void Dispatcher::MergeReport(const NodeReport& aReport)
@@ -50,23 +56,17 @@
   peers_.Merge(aReport);
   bool news = false;
   for (const LeavingMark& mark : aReport.marks_) {
-    news = vms_.MergeMark(mark) || news;
+    news = directory_.MergeMark(mark) || news;
   }
   if (news) {
-    UpdateTargets();
+    UpdateShares();
   }
 }
 
-void Dispatcher::SetRecords(FleetState aFleet)
-{
-  fleet_ = std::move(aFleet);
-  UpdateTargets();
-}
-
 std::vector<QuietVm> Dispatcher::QuietVms() const
 {
   std::vector<QuietVm> out;
-  for (const auto& [vm, entry] : fleet_.vms_) {
+  for (const auto& [vm, entry] : directory_.Records().vms_) {
     if (entry.state_ == VmState::Serving) {
       continue;
     }
@@ -81,47 +81,21 @@
   return out;
 }
 
-/// Members by pool that may get new work. A VM's record goes before the
-/// document, which only says where it should be.
-PoolMembers Dispatcher::MembersByPool() const
-{
-  PoolMembers members;
-  for (const auto& [name, pool] : document_->pools_) {
-    for (const std::string& vm : pool.vms_) {
-      auto record = fleet_.vms_.find(vm);
-      bool recorded = record != fleet_.vms_.end();
-      bool out = recorded && record->second.state_ != VmState::Serving;
-      bool drained = std::find(pool.drain_.begin(), pool.drain_.end(), vm) !=
-                     pool.drain_.end();
-      if (!out && !drained && IsLocalTarget(vm)) {
-        members[recorded ? record->second.pool_ : name].push_back(vm);
-      }
-    }
-  }
-  return members;
-}
-
-bool Dispatcher::IsLocalTarget(const std::string& aVm) const
-{
-  const VmRecord* record = vms_.Find(aVm);
-  return record != nullptr && record->dataCentre_ == self_.dataCentre_ &&
-         !vms_.IsLeaving(aVm);
-}
-
-void Dispatcher::UpdateTargets()
+void Dispatcher::UpdateShares()
 {
-  if (document_ == nullptr) {
+  const Document* document = directory_.CurrentDocument();
+  if (document == nullptr) {
     return;
   }
-  PoolMembers members = MembersByPool();
   for (auto& [name, lane] : lanes_) {
     // A service that has left the document has no targets, but what it
     // accepted before still ends properly.
-    bool known = document_->services_.contains(name);
-    lane->UpdateTargets(known ? members[lane->Spec().pool_]
-                              : std::vector<std::string>(),
-                        peers_,
-                        self_.node_);
+    bool known = document->services_.contains(name);
+    std::span<const std::string> members;
+    if (known) {
+      members = directory_.Members(lane->Spec().pool_);
+    }
+    lane->UpdateTargets(members, peers_, self_.node_);
   }
 }
 
@@ -167,9 +141,9 @@
   entry.id_ = aRequest.id_;
   entry.class_ = terms.class_;
   entry.tenant_ = terms.tenant_;
-  auto tenant = document_->tenants_.find(terms.tenant_);
-  entry.weight_ =
-    tenant == document_->tenants_.end() ? 1 : tenant->second.weight_;
+  const auto& tenants = directory_.CurrentDocument()->tenants_;
+  auto tenant = tenants.find(terms.tenant_);
+  entry.weight_ = tenant == tenants.end() ? 1 : tenant->second.weight_;
   entry.arrived_ = aRequest.arrived_;
   entry.deadline_ = aRequest.deadline_;
   entry.mayHandOver_ = aRequest.mayHandOver_;
@@ -241,7 +215,7 @@
 void Dispatcher::PumpOverflow(ServiceLane& aLane)
 {
   while (aLane.WantsOverflow()) {
-    if (!FindHandoverNode(aLane, {})) {
+    if (!handovers_.FindNode(peers_, aLane.Name(), {})) {
       return;
     }
     auto next = aLane.queue_.TakeForOverflow();
@@ -249,31 +223,19 @@
       return;
     }
     ActiveRequest& request = *Find(next->id_);
-    auto node = FindHandoverNode(aLane, request.tried_);
+    auto node = handovers_.FindNode(peers_, aLane.Name(), request.tried_);
     if (!node) {
       // Each node had its turn; a second turn is better than none.
-      node = FindHandoverNode(aLane, {});
+      node = handovers_.FindNode(peers_, aLane.Name(), {});
     }
     StartHandover(request, *node);
   }
 }
 
-std::optional<std::string> Dispatcher::FindHandoverNode(
-  const ServiceLane& aLane,
-  std::set<std::string, std::less<>> aTried) const
-{
-  for (const auto& [node, until] : pausedNodes_) {
-    if (clock_.Now() < until) {
-      aTried.insert(node);
-    }
-  }
-  return peers_.FindSpare(aLane.Name(), handoversByNode_, aTried);
-}
-
 AttemptTarget Dispatcher::TargetOf(const ServiceLane& aLane,
                                    const std::string& aVm) const
 {
-  const VmRecord* record = vms_.Find(aVm);
+  const VmRecord* record = directory_.Vms().Find(aVm);
   assert(record != nullptr && "targets are chosen from the VM table");
   return { record->endpoint_, aLane.Spec().probePath_, aLane.Spec().usual_ };
 }
@@ -336,13 +298,10 @@
   assert(aRequest.handover_ == 0 && "one hand-over of a request at a time");
   aRequest.isWaiting_ = false;
   aRequest.flow_->OnAttempt();
-  aRequest.handover_ = ++lastHandover_;
-  handovers_.emplace(aRequest.handover_, aRequest.id_);
-  aRequest.handoverNode_ = aNode;
+  aRequest.handover_ = handovers_.Begin(aRequest.id_, aNode);
   if (aRequest.started_ == Millis(0)) {
     aRequest.started_ = clock_.Now();
   }
-  ++handoversByNode_[aNode];
   CheckedRequest handed = aRequest.request_;
   handed.terms_.timeLeft_ = aRequest.deadline_ - clock_.Now();
   peerOutlet_.HandOver(aRequest.handover_, aNode, handed);
@@ -360,10 +319,10 @@
 {
   ServiceLane& lane = *aRequest.lane_;
   if (FindHeader(aAnswer.headers_, kLeavingHeader)) {
-    LeavingMark mark = vms_.MarkFor(aTarget);
-    if (vms_.MergeMark(mark)) {
+    LeavingMark mark = directory_.Vms().MarkFor(aTarget);
+    if (directory_.MergeMark(mark)) {
       peerOutlet_.TellLeaving(mark);
-      UpdateTargets();
+      UpdateShares();
     }
   }
   if (IsRefusal(aAnswer)) {
@@ -450,22 +409,23 @@
 
 void Dispatcher::OnHandoverEnded(HandoverEnded aNews)
 {
-  auto found = handovers_.find(aNews.id_);
-  if (found == handovers_.end()) {
+  auto id = handovers_.RequestOf(aNews.id_);
+  if (!id) {
     return;
   }
-  ActiveRequest& request = *Find(found->second);
+  ActiveRequest& request = *Find(*id);
   ServiceLane& lane = *request.lane_;
   bool silent = aNews.end_ == HandoverEnd::Silent;
   if (silent && !request.request_.terms_.idempotent_) {
     return;
   }
-  std::string node = request.handoverNode_;
-  ForgetHandover(request);
+  std::string node = handovers_.NodeOf(aNews.id_);
+  handovers_.End(aNews.id_);
+  request.handover_ = 0;
   RequestFlow& flow = *request.flow_;
   Outcome outcome = aNews.answer_.outcome_;
   if (aNews.end_ == HandoverEnd::NotSent) {
-    pausedNodes_[node] = clock_.Now() + kUnreachablePause;
+    handovers_.Pause(node);
     Proceed(request, flow.OnNotSent());
   } else if (aNews.end_ != HandoverEnd::Answered ||
              outcome == Outcome::Unknown) {
@@ -481,16 +441,6 @@
   Pump(lane);
 }
 
-void Dispatcher::ForgetHandover(ActiveRequest& aRequest)
-{
-  if (aRequest.handover_ == 0) {
-    return;
-  }
-  --handoversByNode_[aRequest.handoverNode_];
-  handovers_.erase(aRequest.handover_);
-  aRequest.handover_ = 0;
-}
-
 std::optional<Millis> Dispatcher::NextDeadline() const
 {
   if (deadlines_.empty()) {
@@ -562,7 +512,8 @@
     aRequest.lane_->chooser_.Release(attempt.target_);
   }
   aRequest.attempts_.clear();
-  ForgetHandover(aRequest);
+  handovers_.End(aRequest.handover_);
+  aRequest.handover_ = 0;
 }
 
 void Dispatcher::ReleaseSlot(ActiveRequest& aRequest)
@@ -606,7 +557,7 @@
 void Dispatcher::ProbeSuspected(ServiceLane& aLane)
 {
   for (const std::string& vm : aLane.chooser_.TakeDueProbes()) {
-    if (vms_.Find(vm) == nullptr) {
+    if (directory_.Vms().Find(vm) == nullptr) {
       continue;
     }
     targets_.Probe(TargetOf(aLane, vm), [this, vm, lane = &aLane](bool aAlive) {
@@ -622,11 +573,11 @@
 
 void Dispatcher::OnTick()
 {
-  if (document_ == nullptr) {
+  if (directory_.CurrentDocument() == nullptr) {
     return;
   }
   peers_.Forget();
-  UpdateTargets();
+  UpdateShares();
   for (auto& [name, lane] : lanes_) {
     ProbeSuspected(*lane);
     Pump(*lane);
@@ -637,7 +588,11 @@
 {
   ServiceLoads loads;
   for (auto& [name, lane] : lanes_) {
-    loads.emplace(name, lane->TakeLoadReport());
+    ServiceLoad load = lane->TakeLoadReport();
+    // What a report leaves out counts as nothing.
+    if (load.demand_ > 0 || load.spare_ > 0) {
+      loads.emplace(name, load);
+    }
   }
   return loads;
 }
@@ -651,11 +606,11 @@
                        { "waiting", lane->queue_.Waiting() } };
   }
   nlohmann::json vms = nlohmann::json::array();
-  for (const auto& [name, record] : vms_.All()) {
+  for (const auto& [name, record] : directory_.Vms().All()) {
     vms.push_back({ { "name", name },
                     { "data_centre", record.dataCentre_ },
                     { "address", record.endpoint_.Text() },
-                    { "leaving", vms_.IsLeaving(name) } });
+                    { "leaving", directory_.Vms().IsLeaving(name) } });
   }
   nlohmann::json peers = nlohmann::json::array();
   for (const NodeReport* report : peers_.Live()) {
--- a/lib/Requests/ServiceLane.cpp
+++ b/lib/Requests/ServiceLane.cpp
@@ -26,18 +26,16 @@
   budget_.SetRatio(aSpec.retryRatio_);
 }
 
-void ServiceLane::UpdateTargets(std::vector<std::string> aTargets,
+void ServiceLane::UpdateTargets(std::span<const std::string> aTargets,
                                 const PeerTable& aPeers,
                                 std::string_view aNode)
 {
-  std::vector<std::string> targets = std::move(aTargets);
-  std::sort(targets.begin(), targets.end());
   Demands demands = aPeers.LocalDemands(name_, reportedDemand_);
   std::vector<std::int64_t> counts =
-    SlotsPerTarget(demands, aNode, targets.size(), spec_.slots_);
+    SlotsPerTarget(demands, aNode, aTargets.size(), spec_.slots_);
   std::map<std::string, std::int64_t, std::less<>> slots;
-  for (std::size_t i = 0; i < targets.size(); ++i) {
-    slots.emplace(targets[i], counts[i]);
+  for (std::size_t i = 0; i < aTargets.size(); ++i) {
+    slots.emplace(aTargets[i], counts[i]);
   }
   chooser_.SetSlots(std::move(slots));
   queue_.SetSlots(chooser_.UsableSlots());
--- a/lib/Settings/Settings.cpp
+++ b/lib/Settings/Settings.cpp
@@ -66,15 +66,11 @@
 tl::expected<Settings, std::vector<Fault>> ReadSettings(std::string_view aText)
 {
   std::vector<Fault> faults;
-  toml::table root;
-  try {
-    root = toml::parse(aText);
-  } catch (const toml::parse_error& error) {
-    faults.push_back({ error.source().begin.line,
-                       "settings",
-                       "TOML, but: " + std::string(error.description()) });
+  auto parsed = ParseToml(aText, "settings", faults);
+  if (!parsed) {
     return tl::unexpected(faults);
   }
+  const toml::table& root = *parsed;
   TableReader reader(root, "", faults);
   Settings settings;
   settings.node_ = reader.RequiredText("node");
--- a/lib/Support/TableReader.cpp
+++ b/lib/Support/TableReader.cpp
@@ -13,6 +13,20 @@
   return place + field_ + ": expected " + expected_;
 }
 
+std::optional<toml::table> ParseToml(std::string_view aText,
+                                     std::string_view aWhat,
+                                     std::vector<Fault>& aFaults)
+{
+  try {
+    return toml::parse(aText);
+  } catch (const toml::parse_error& error) {
+    aFaults.push_back({ error.source().begin.line,
+                        std::string(aWhat),
+                        "TOML, but: " + std::string(error.description()) });
+    return std::nullopt;
+  }
+}
+
 TableReader::TableReader(const toml::table& aTable,
                          std::string aPath,
                          std::vector<Fault>& aFaults)
--- a/test/e2e/small_site.py
+++ b/test/e2e/small_site.py
@@ -26,6 +26,13 @@
                  slots=8):
         super().__init__(build, work)
         self.more = more
+        try:
+            self.start_all(entries, targets, slots)
+        except BaseException:
+            self.end_all()
+            raise
+
+    def start_all(self, entries, targets, slots):
         self.start_platform()
         for index, data_centre in enumerate(targets):
             self.add_target(f"vm-{index}", data_centre, slots)
--- a/tools/coltsfootshedd/main.cpp
+++ b/tools/coltsfootshedd/main.cpp
@@ -8,8 +8,10 @@
 
 #include <csignal>
 #include <cstdio>
+#include <nlohmann/json.hpp>
 #include <popt.h>
 #include <pthread.h>
+#include <spdlog/pattern_formatter.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 #include <thread>
@@ -96,17 +98,49 @@
   return token;
 }
 
+namespace {
+
+/// Writes a log text as a JSON string.
+class JsonText final : public spdlog::custom_flag_formatter
+{
+public:
+  void format(const spdlog::details::log_msg& aMessage,
+              const std::tm&,
+              spdlog::memory_buf_t& aOut) override
+  {
+    std::string_view text(aMessage.payload.data(), aMessage.payload.size());
+    std::string quoted = nlohmann::json(text).dump();
+    aOut.append(quoted.data(), quoted.data() + quoted.size());
+  }
+  std::unique_ptr<custom_flag_formatter> clone() const override
+  {
+    return std::make_unique<JsonText>();
+  }
+};
+
+} // namespace
+
+static std::unique_ptr<spdlog::formatter> JsonFormatter(
+  const std::string& aNode)
+{
+  auto formatter = std::make_unique<spdlog::pattern_formatter>();
+  formatter->add_flag<JsonText>('*').set_pattern(
+    "{\"time\":\"%Y-%m-%dT%H:%M:%S.%e\",\"level\":\"%l\",\"node\":\"" + aNode +
+    "\",\"text\":%*}");
+  return formatter;
+}
+
 static void StartLog(const Settings& aSettings)
 {
   auto logger = spdlog::stderr_logger_mt("coltsfootshedd");
   logger->set_level(spdlog::level::from_str(aSettings.logLevel_));
   logger->flush_on(spdlog::level::info);
-  logger->set_pattern(
-    aSettings.logJson_
-      ? "{\"time\":\"%Y-%m-%dT%H:%M:%S.%e\",\"level\":"
-        "\"%l\",\"node\":\"" +
-          aSettings.node_ + "\",\"text\":\"%v\"}"
-      : "time=%Y-%m-%dT%H:%M:%S.%e level=%l node=" + aSettings.node_ + " %v");
+  if (aSettings.logJson_) {
+    logger->set_formatter(JsonFormatter(aSettings.node_));
+  } else {
+    logger->set_pattern(
+      "time=%Y-%m-%dT%H:%M:%S.%e level=%l node=" + aSettings.node_ + " %v");
+  }
   spdlog::set_default_logger(logger);
 }
 
--- a/unittests/Fleet/FleetFuzzTest.cpp
+++ b/unittests/Fleet/FleetFuzzTest.cpp
@@ -4,27 +4,15 @@
 /// failures and requests under way.
 
 #include "Fleet/FleetWorld.h"
+#include "Support/FuzzEvent.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <iostream>
 #include <random>
-#include <rapidcheck.h>
-#include <rapidcheck/state.h>
 
 namespace coltsfootshed {
 
-namespace {
-
-struct NoModel
-{};
-
-struct EventKind
-{
-  const char* name_;
-  void (FleetWorld::*act_)(unsigned);
-};
-
-constexpr EventKind kEvents[] = {
+static constexpr EventKind<FleetWorld> kEvents[] = {
   { "Act", &FleetWorld::Act },
   { "DeliverRead", &FleetWorld::DeliverRead },
   { "LearnRecords", &FleetWorld::LearnRecords },
@@ -38,39 +26,20 @@
   { "Boot", &FleetWorld::Boot },
 };
 /// The first five kinds get most of the steps.
-constexpr std::size_t kFrequent = 5;
+static constexpr std::size_t kFrequent = 5;
 
-std::uint64_t steps = 0;
-
-struct Event : rc::state::Command<NoModel, FleetWorld>
+static std::span<const EventKind<FleetWorld>> FuzzEventsOf(FleetWorld*)
 {
-  std::size_t kind_;
-  unsigned pick_;
-
-  Event()
-    : kind_(*rc::gen::weightedOneOf<std::size_t>(
-        { { 4, rc::gen::inRange<std::size_t>(0, 2) },
-          { 2, rc::gen::inRange<std::size_t>(2, kFrequent) },
-          { 1,
-            rc::gen::inRange<std::size_t>(kFrequent, std::size(kEvents)) } }))
-    , pick_(*rc::gen::inRange(0U, 1000U))
-  {
-  }
+  return kEvents;
+}
 
-  void run(const NoModel&, FleetWorld& aWorld) const override
-  {
-    ++steps;
-    (aWorld.*kEvents[kind_].act_)(pick_);
-    RC_ASSERT(aWorld.Violation() == "");
-  }
-
-  void show(std::ostream& aOut) const override
-  {
-    aOut << kEvents[kind_].name_ << "(" << pick_ << ")";
-  }
-};
-
-} // namespace
+static std::size_t DrawEvent(FleetWorld*)
+{
+  return *rc::gen::weightedOneOf<std::size_t>(
+    { { 4, rc::gen::inRange<std::size_t>(0, 2) },
+      { 2, rc::gen::inRange<std::size_t>(2, kFrequent) },
+      { 1, rc::gen::inRange<std::size_t>(kFrequent, std::size(kEvents)) } });
+}
 
 class FleetFuzzTest : public CppUnit::TestFixture
 {
@@ -92,7 +61,7 @@
                          : draw < 30 ? 2 + random() % (kFrequent - 2)
                                      : kFrequent + random() % 6;
       (world.*kEvents[kind].act_)(random() % 1000);
-      ++steps;
+      ++FuzzEvent<FleetWorld>::steps;
     }
     world.Settle();
     return world.Violation();
@@ -104,7 +73,9 @@
     bool held = rc::check("planned operations under failure", [] {
       FleetWorld world;
       rc::state::check(
-        NoModel(), world, rc::state::gen::execOneOfWithArgs<Event>());
+        NoModel(),
+        world,
+        rc::state::gen::execOneOfWithArgs<FuzzEvent<FleetWorld>>());
       world.Settle();
       RC_ASSERT(world.Violation() == "");
     });
@@ -119,7 +90,7 @@
       CPPUNIT_ASSERT_EQUAL_MESSAGE(
         "seed " + std::to_string(seed), std::string(), violation);
     }
-    std::cerr << "fleet fuzz steps: " << steps << "\n";
+    std::cerr << "fleet fuzz steps: " << FuzzEvent<FleetWorld>::steps << "\n";
   }
 
   /// A check that cannot fail shows here.
--- a/unittests/Requests/DispatcherFuzzTest.cpp
+++ b/unittests/Requests/DispatcherFuzzTest.cpp
@@ -3,28 +3,15 @@
 /// callers were told, under kills, cuts, freezes and late answers.
 
 #include "Requests/World.h"
+#include "Support/FuzzEvent.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <iostream>
 #include <random>
-#include <rapidcheck.h>
-#include <rapidcheck/state.h>
 
 namespace coltsfootshed {
 
-namespace {
-
-/// The oracle is in the world itself; commands are always allowed.
-struct NoModel
-{};
-
-struct EventKind
-{
-  const char* name_;
-  void (World::*act_)(unsigned);
-};
-
-constexpr EventKind kEvents[] = {
+static constexpr EventKind<World> kEvents[] = {
   { "Offer", &World::Offer },
   { "RefuseConnect", &World::RefuseConnect },
   { "Deliver", &World::Deliver },
@@ -42,38 +29,19 @@
 };
 
 /// Offers, deliveries and runs are as frequent as all else together.
-constexpr std::size_t kFrequent[] = { 0, 0, 0, 2, 2, 3, 3, 4, 10 };
+static constexpr std::size_t kFrequent[] = { 0, 0, 0, 2, 2, 3, 3, 4, 10 };
 
-std::uint64_t steps = 0;
-
-struct Event : rc::state::Command<NoModel, World>
+static std::span<const EventKind<World>> FuzzEventsOf(World*)
 {
-  std::size_t kind_;
-  unsigned pick_;
-
-  Event()
-    : kind_(*rc::gen::oneOf(
-        rc::gen::elementOf(
-          std::vector<std::size_t>(std::begin(kFrequent), std::end(kFrequent))),
-        rc::gen::inRange<std::size_t>(0, std::size(kEvents))))
-    , pick_(*rc::gen::inRange(0U, 1000U))
-  {
-  }
+  return kEvents;
+}
 
-  void run(const NoModel&, World& aWorld) const override
-  {
-    ++steps;
-    (aWorld.*kEvents[kind_].act_)(pick_);
-    RC_ASSERT(aWorld.Violation() == "");
-  }
-
-  void show(std::ostream& aOut) const override
-  {
-    aOut << kEvents[kind_].name_ << "(" << pick_ << ")";
-  }
-};
-
-} // namespace
+static std::size_t DrawEvent(World*)
+{
+  std::vector<std::size_t> frequent(std::begin(kFrequent), std::end(kFrequent));
+  return *rc::gen::oneOf(rc::gen::elementOf(frequent),
+                         rc::gen::inRange<std::size_t>(0, std::size(kEvents)));
+}
 
 class DispatcherFuzzTest : public CppUnit::TestFixture
 {
@@ -87,12 +55,13 @@
   {
     bool held = rc::check("requests under failure", [] {
       World world;
-      rc::state::check(
-        NoModel(), world, rc::state::gen::execOneOfWithArgs<Event>());
+      rc::state::check(NoModel(),
+                       world,
+                       rc::state::gen::execOneOfWithArgs<FuzzEvent<World>>());
       world.Drain();
       RC_ASSERT(world.Violation() == "");
     });
-    std::cerr << "fuzz steps: " << steps << "\n";
+    std::cerr << "fuzz steps: " << FuzzEvent<World>::steps << "\n";
     CPPUNIT_ASSERT(held);
   }
 
--- a/unittests/Requests/World.cpp
+++ b/unittests/Requests/World.cpp
@@ -359,7 +359,7 @@
   dispatcher_.OnDeadlines();
   dispatcher_.OnTick();
   ReportPeer();
-  Check(dispatcher_.TakeLoads().at("x").demand_ <= 6 + 6 + 2,
+  Check(dispatcher_.TakeLoads()["x"].demand_ <= 6 + 6 + 2,
         "more requests wait and run than the bounds allow");
 }
 
