--- a/include/coltsfootshed/Admission/ServiceQueue.h
+++ b/include/coltsfootshed/Admission/ServiceQueue.h
@@ -67,7 +67,7 @@
   bool IsHopeless(const QueuedRequest& aRequest) const;
   std::optional<std::size_t> PickClass() const;
   std::int64_t QueueShare(std::size_t aClass) const;
-  std::optional<std::size_t> VictimClass(std::size_t aArriving) const;
+  std::size_t VictimClass(std::size_t aArriving) const;
   QueuedRequest Start(std::size_t aClass);
 
   const Clock& clock_;
--- a/include/coltsfootshed/Http/ClientConnection.h
+++ b/include/coltsfootshed/Http/ClientConnection.h
@@ -59,7 +59,7 @@
   /// keeps the connection open and has sent nothing more.
   bool IsReusable() const;
   /// Largest answer body accepted, in bytes.
-  static constexpr std::size_t kMaxAnswerBody = 64 * 1024 * 1024;
+  static constexpr std::size_t kMaxAnswerBody = std::size_t{ 64 } << 20;
 
 private:
   static void OnRequestDone(evhttp_request* aRequest, void* aSelf);
--- a/include/coltsfootshed/Http/Server.h
+++ b/include/coltsfootshed/Http/Server.h
@@ -64,7 +64,7 @@
 /// Limits of a server.
 struct ServerLimits
 {
-  std::uint64_t maxBody_ = 8 * 1024 * 1024; ///< bytes
+  std::uint64_t maxBody_ = std::uint64_t{ 8 } << 20; ///< bytes
   std::size_t maxConnections_ = 10000;
 };
 
--- a/include/coltsfootshed/Settings/Settings.h
+++ b/include/coltsfootshed/Settings/Settings.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
+#include <tuple>
 #include <vector>
 
 namespace coltsfootshed {
@@ -21,7 +22,11 @@
   std::uint16_t port_ = 0;
 
   std::string Text() const;
-  auto operator<=>(const Endpoint&) const = default;
+  bool operator==(const Endpoint&) const = default;
+  bool operator<(const Endpoint& aOther) const
+  {
+    return std::tie(address_, port_) < std::tie(aOther.address_, aOther.port_);
+  }
 };
 
 /// Parses "10.0.0.1:8080"; the address must be an IPv4 number.
--- a/lib/Admission/ServiceQueue.cpp
+++ b/lib/Admission/ServiceQueue.cpp
@@ -77,8 +77,7 @@
 
 /// The class that gives up a place in a full queue: the least urgent one that
 /// holds more than its share. The arriving class is the last resort.
-std::optional<std::size_t> ServiceQueue::VictimClass(
-  std::size_t aArriving) const
+std::size_t ServiceQueue::VictimClass(std::size_t aArriving) const
 {
   bool withinShare = queues_[aArriving].Size() < QueueShare(aArriving);
   for (std::size_t i = kClassCount; i-- > 0;) {
@@ -111,8 +110,11 @@
   }
   Admitted admitted;
   if (Waiting() >= limit_) {
-    std::size_t victim = VictimClass(index).value_or(index);
-    std::string_view except = victim == index ? aRequest.tenant_ : "";
+    std::size_t victim = VictimClass(index);
+    std::string_view except;
+    if (victim == index) {
+      except = aRequest.tenant_;
+    }
     admitted.evicted_ = queues_.at(victim).EvictFromHeaviest(except);
     if (!admitted.evicted_) {
       return {};
--- a/lib/Fleet/FleetPlanner.cpp
+++ b/lib/Fleet/FleetPlanner.cpp
@@ -253,7 +253,10 @@
            std::find(aList.begin(), aList.end(), aName) != aList.end();
   };
   auto local = localVms_.find(aVm);
-  std::string_view rack = local == localVms_.end() ? "" : local->second;
+  std::string_view rack;
+  if (local != localVms_.end()) {
+    rack = local->second;
+  }
   return names(aWave.pools_, aEntry.pool_) && names(aWave.racks_, rack);
 }
 
--- a/lib/Http/Server.cpp
+++ b/lib/Http/Server.cpp
@@ -12,12 +12,12 @@
 namespace coltsfootshed {
 
 /// Bytes of names and values in one header section.
-static constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
+static constexpr std::size_t kMaxHeaderBytes = std::size_t{ 64 } << 10;
 static constexpr int kBacklog = 1024;
 /// How often waiting callers are checked for having hung up.
 static constexpr Millis kHangUpPeriod{ 50 };
 /// Bytes that a caller may send ahead of its answer.
-static constexpr std::size_t kMostInputWhileWaiting = 64 * 1024;
+static constexpr std::size_t kMostInputWhileWaiting = std::size_t{ 64 } << 10;
 
 static constexpr std::array<std::pair<htp_method, const char*>, 7> kMethods = {
   { { htp_method_GET, "GET" },
--- a/lib/Peers/PeerExchange.cpp
+++ b/lib/Peers/PeerExchange.cpp
@@ -115,12 +115,12 @@
     if (contact.link_ == nullptr) {
       continue;
     }
-    if (contact.node_.empty()) {
-      Exchange(contact);
-    } else if (contact.dataCentre_ != settings_.dataCentre_) {
+    bool isNew = contact.node_.empty();
+    // Both sides get a report of each exchange, so one of them asks.
+    bool asks = isNew || settings_.node_ < contact.node_;
+    if (!isNew && contact.dataCentre_ != settings_.dataCentre_) {
       remote.push_back(&contact);
-    } else if (settings_.node_ < contact.node_) {
-      // Both sides get a report of each exchange, so one of them asks.
+    } else if (asks) {
       Exchange(contact);
     }
   }
@@ -287,6 +287,14 @@
   return nullptr;
 }
 
+/// Ends a promise with an error unless aHolds.
+static void Require(bool aHolds, const char* aReason)
+{
+  if (!aHolds) {
+    kj::throwFatalException(KJ_EXCEPTION(FAILED, aReason));
+  }
+}
+
 /// The sections that aHead names and aHeld lacks.
 static std::vector<std::string> MissingDigests(const Head& aHead,
                                                const Sections& aHeld)
@@ -310,7 +318,7 @@
   auto fetched = peer->fetchHeadRequest().send().then(
     [this, peer = *peer](auto&& aResponse) mutable {
       auto head = HeadFromJson(aResponse.getHead().cStr());
-      KJ_REQUIRE(head.has_value(), "peer's config head is unreadable");
+      Require(head.has_value(), "peer's config head is unreadable");
       auto digests = MissingDigests(*head, *held_.sections_);
       auto request = peer.fetchSectionsRequest();
       auto list = request.initDigests(digests.size());
@@ -342,7 +350,7 @@
   request.setSince(vms_.revision_);
   auto fetched = request.send().then([this](auto&& aResponse) {
     auto page = VmsFromJson(aResponse.getPage().cStr());
-    KJ_REQUIRE(page.has_value(), "peer's VM list is unreadable");
+    Require(page.has_value(), "peer's VM list is unreadable");
     mailboxes_.fleet_.Post(PeerVms{ std::move(*page) });
   });
   tasks_.add(timer_.timeoutAfter(kAnswerLimit, kj::mv(fetched))
--- a/lib/Peers/PeerServer.cpp
+++ b/lib/Peers/PeerServer.cpp
@@ -71,7 +71,7 @@
     return kj::READY_NOW;
   }
   return exchange_.Serve(std::move(*request))
-    .then([aContext](RequestAnswer aAnswer) mutable {
+    .then([aContext](const RequestAnswer& aAnswer) mutable {
       WriteAnswer(aAnswer, aContext.getResults().initAnswer());
     });
 }
--- a/lib/Requests/AttemptRunner.cpp
+++ b/lib/Requests/AttemptRunner.cpp
@@ -26,12 +26,12 @@
   attempt.events_ = std::move(aEvents);
   attempt.quiet_ = std::make_unique<Timer>(base_, [this, id] { OnQuiet(id); });
   attempt.quiet_->Start(aTarget.usual_);
-  CallId call =
-    caller_.Call(aTarget.endpoint_,
-                 aRequest,
-                 aLimit,
-                 aCareful ? Reuse::Recent : Reuse::Any,
-                 [this, id](CallResult aResult) { OnEnd(id, aResult); });
+  CallId call = caller_.Call(
+    aTarget.endpoint_,
+    aRequest,
+    aLimit,
+    aCareful ? Reuse::Recent : Reuse::Any,
+    [this, id](CallResult aResult) { OnEnd(id, std::move(aResult)); });
   attempts_.at(id).call_ = call;
   return id;
 }
--- a/test/standins/traffic.cpp
+++ b/test/standins/traffic.cpp
@@ -161,9 +161,10 @@
   if (aValues.empty()) {
     return 0;
   }
-  auto index = static_cast<std::size_t>(aPart * double(aValues.size() - 1));
-  std::nth_element(aValues.begin(), aValues.begin() + index, aValues.end());
-  return aValues[index];
+  auto index = static_cast<std::ptrdiff_t>(aPart * double(aValues.size() - 1));
+  auto wanted = aValues.begin() + index;
+  std::nth_element(aValues.begin(), wanted, aValues.end());
+  return *wanted;
 }
 
 static bool ReadPlan(int aCount, const char** aArguments, Plan& aPlan)
--- /dev/null
+++ b/unittests/Admission/ServiceQueueTest.cpp
@@ -0,0 +1,82 @@
+/// \file
+/// Tests of what gives up its place in a full queue.
+
+#include "coltsfootshed/Admission/ServiceQueue.h"
+#include "Support/ManualClock.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace coltsfootshed {
+
+class ServiceQueueTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ServiceQueueTest);
+  CPPUNIT_TEST(UrgentTakesThePlaceOfBackground);
+  CPPUNIT_TEST(HeaviestTenantGivesUpItsNewest);
+  CPPUNIT_TEST(HeaviestTenantIsShedOnArrival);
+  CPPUNIT_TEST(HopelessRequestIsDropped);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr std::int64_t kLimit = 10;
+
+  QueuedRequest Request(RequestClass aClass, const std::string& aTenant)
+  {
+    Millis now = clock_.Now();
+    return { ++last_, aClass, aTenant, 1, now, now + Millis(5000), false };
+  }
+
+  /// Fills the queue with one class of one tenant.
+  void Fill(RequestClass aClass, const std::string& aTenant)
+  {
+    while (queue_.Waiting() < kLimit) {
+      CPPUNIT_ASSERT(queue_.Offer(Request(aClass, aTenant)).queued_);
+    }
+  }
+
+  ManualClock clock_;
+  ServiceQueue queue_{ clock_, kLimit };
+  RequestId last_ = 0;
+
+public:
+  void UrgentTakesThePlaceOfBackground()
+  {
+    // The tenant is the same: between classes it makes no difference.
+    Fill(RequestClass::Background, "a tenant with a long name");
+    Admitted admitted =
+      queue_.Offer(Request(RequestClass::Urgent, "a tenant with a long name"));
+    CPPUNIT_ASSERT(admitted.queued_);
+    CPPUNIT_ASSERT(admitted.evicted_ == RequestId(kLimit));
+  }
+
+  void HeaviestTenantGivesUpItsNewest()
+  {
+    Fill(RequestClass::Standard, "heavy");
+    Admitted admitted = queue_.Offer(Request(RequestClass::Standard, "light"));
+    CPPUNIT_ASSERT(admitted.queued_);
+    CPPUNIT_ASSERT(admitted.evicted_ == RequestId(kLimit));
+  }
+
+  void HeaviestTenantIsShedOnArrival()
+  {
+    Fill(RequestClass::Standard, "heavy");
+    Admitted admitted = queue_.Offer(Request(RequestClass::Standard, "heavy"));
+    CPPUNIT_ASSERT(!admitted.queued_);
+    CPPUNIT_ASSERT(!admitted.evicted_);
+    CPPUNIT_ASSERT_EQUAL(kLimit, queue_.Waiting());
+  }
+
+  void HopelessRequestIsDropped()
+  {
+    queue_.Offer(Request(RequestClass::Standard, "t"));
+    clock_.Advance(Millis(4999));
+    queue_.SetSlots(1);
+    std::vector<RequestId> dropped;
+    CPPUNIT_ASSERT(!queue_.TakeNext(dropped));
+    CPPUNIT_ASSERT(dropped == std::vector<RequestId>{ 1 });
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(0), queue_.Running());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServiceQueueTest);
+
+} // namespace coltsfootshed
