A fresh steward waits until it knows its data centre; idle links are watched

The steward, killed and started again without seeds, heard from nobody: since only the lower name asks, the others had no reason to notice that their idle links to it were dead. Knowing no other entry VM, it took every VM for quiet and rebooted one with a request under way. Ruled out: fences (each record had its own), pooled connections (nothing was sent to the VM after it was quiet). Conclusion: an entry VM that a fresh steward has never heard of, because it is cut off but still reaches targets, remains a hole. docs/PROMISES.md names it; entry VMs registered in the platform would close it.

--- a/include/coltsfootshed/Fleet/StewardRunner.h
+++ b/include/coltsfootshed/Fleet/StewardRunner.h
@@ -43,6 +43,7 @@
                   std::string_view aOperation) const override;
   bool IsAnswering(std::string_view aVm) const override;
 
+  bool KnowsItsDataCentre() const;
   void RenewLease();
   void Step();
   void CarryOut(const StewardAction& aAction);
@@ -57,6 +58,7 @@
   const PeerTable& peers_;
   const VmTable& vms_;
   OnRecords onRecords_;
+  Millis startedAt_;
   std::mt19937_64 random_;
   Steward steward_;
   std::shared_ptr<const Document> document_;
--- a/lib/Fleet/StewardRunner.cpp
+++ b/lib/Fleet/StewardRunner.cpp
@@ -30,6 +30,7 @@
   , peers_(aPeers)
   , vms_(aVms)
   , onRecords_(std::move(aOnRecords))
+  , startedAt_(aClock.Now())
   , random_(std::random_device{}())
   , steward_(self_.dataCentre_)
   , prober_(aBase, aClock, 0)
@@ -57,10 +58,17 @@
   return clock_.Now() + kLeaseMargin < heldUntil_;
 }
 
+/// A process that has just started does not know yet who else sends work to
+/// its data centre's VMs.
+bool StewardRunner::KnowsItsDataCentre() const
+{
+  return clock_.Now() - startedAt_ >= PeerTable::kLease && !vms_.All().empty();
+}
+
 void StewardRunner::RenewLease()
 {
   leaseTimer_.Start(kLeasePeriod);
-  if (!peers_.IsWatcher()) {
+  if (!peers_.IsWatcher() || !KnowsItsDataCentre()) {
     return;
   }
   Millis askedAt = clock_.Now();
--- a/lib/Peers/PeerExchange.cpp
+++ b/lib/Peers/PeerExchange.cpp
@@ -97,6 +97,7 @@
 void PeerExchange::Tick()
 {
   for (auto& [endpoint, contact] : contacts_) {
+    DropIfDisconnected(contact);
     if (contact.link_ == nullptr) {
       Connect(contact);
     }
@@ -107,6 +108,19 @@
   }
 }
 
+/// An idle link must be made anew too when the other end goes away: the other
+/// end may be waiting to hear from this node.
+void PeerExchange::DropIfDisconnected(PeerContact& aContact)
+{
+  bool disconnected = false;
+  KJ_IF_MAYBE (link, aContact.link_) {
+    disconnected = (*link)->disconnected_;
+  }
+  if (disconnected) {
+    aContact.link_ = nullptr;
+  }
+}
+
 void PeerExchange::SendReports()
 {
   peers_.Forget();
--- a/lib/Peers/PeerExchange.h
+++ b/lib/Peers/PeerExchange.h
@@ -47,6 +47,7 @@
   void Tick();
   void SendReports();
   void Connect(PeerContact& aContact);
+  void DropIfDisconnected(PeerContact& aContact);
   void Exchange(PeerContact& aContact);
   void ExchangeAtOnce();
   void OnLinkFailed(const Endpoint& aEndpoint, PeerLink& aLink, bool aSilent);
--- a/lib/Peers/PeerLink.h
+++ b/lib/Peers/PeerLink.h
@@ -20,6 +20,9 @@
     : stream_(kj::mv(aStream))
     , client_(*stream_)
     , peer_(client_.bootstrap().castAs<wire::Peer>())
+    , watch_(client_.onDisconnect()
+               .then([this] { disconnected_ = true; })
+               .eagerlyEvaluate(nullptr))
   {
   }
 
@@ -28,6 +31,8 @@
   wire::Peer::Client peer_;
   std::set<HandoverId> handovers_; ///< under way
   bool exchanging_ = false;        ///< a report awaits its answer
+  bool disconnected_ = false;      ///< the other end has gone
+  kj::Promise<void> watch_;
 };
 
 /// An address that this process keeps a link to.
