Option texts and the traffic program's loop are freed

Cause: the address sanitizer's end-to-end test was red: popt's texts leaked in coltsfootctl, and the traffic program left its event loop, so that the leak check cut its report off. Change: TakeOptionText, and an owned loop.

--- a/test/standins/traffic.cpp
+++ b/test/standins/traffic.cpp
@@ -3,11 +3,13 @@
 /// prints what came of each class, as JSON. docs/STANDINS.md describes it.
 
 #include "coltsfootshed/Http/Caller.h"
+#include "coltsfootshed/Support/OptionText.h"
 
 #include <algorithm>
 #include <cstdio>
 #include <event2/event.h>
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <popt.h>
 #include <sstream>
@@ -195,11 +197,9 @@
   int end = poptGetNextOpt(context);
   poptFreeContext(context);
   for (auto& [name, text] : texts) {
-    if (values[name] != nullptr) {
-      *text = values[name];
-    }
+    *text = TakeOptionText(values[name], text->c_str());
   }
-  std::istringstream list(entries == nullptr ? "" : entries);
+  std::istringstream list(TakeOptionText(entries));
   std::string item;
   while (std::getline(list, item, ',')) {
     auto endpoint = ParseEndpoint(item);
@@ -218,9 +218,10 @@
     std::fprintf(stderr, "bad arguments; see --help\n");
     return 2;
   }
-  event_base* base = event_base_new();
-  Traffic traffic(base, plan);
-  event_base_dispatch(base);
+  std::unique_ptr<event_base, decltype(&event_base_free)> base(
+    event_base_new(), &event_base_free);
+  Traffic traffic(base.get(), plan);
+  event_base_dispatch(base.get());
   const Tally& tally = traffic.Result();
   Json out = { { "class", plan.class_ },
                { "service", plan.service_ },
--- a/tools/coltsfootctl/main.cpp
+++ b/tools/coltsfootctl/main.cpp
@@ -3,6 +3,7 @@
 
 #include "Commands.h"
 #include "coltsfootshed/Support/File.h"
+#include "coltsfootshed/Support/OptionText.h"
 
 #include <cstdio>
 #include <cstdlib>
@@ -56,23 +57,26 @@
     aOut.words_.emplace_back(word);
   }
   poptFreeContext(context);
-  auto endpoint = ParseEndpoint(server == nullptr ? kDefaultServer : server);
+  std::string address = TakeOptionText(server, kDefaultServer);
+  std::string tokenPath = TakeOptionText(token);
+  const char* user = std::getenv("USER");
+  aOut.context_.author_ =
+    TakeOptionText(author, user != nullptr ? user : "unknown");
+  auto endpoint = ParseEndpoint(address);
   if (!endpoint) {
-    std::fprintf(stderr, "--server: expected IP:PORT, got %s\n", server);
+    std::fprintf(
+      stderr, "--server: expected IP:PORT, got %s\n", address.c_str());
     return kExitBadInput;
   }
   aOut.context_.server_ = *endpoint;
-  if (token != nullptr) {
-    auto text = ReadTokenFile(token);
+  if (!tokenPath.empty()) {
+    auto text = ReadTokenFile(tokenPath);
     if (!text) {
-      std::fprintf(stderr, "%s: cannot be read\n", token);
+      std::fprintf(stderr, "%s: cannot be read\n", tokenPath.c_str());
       return kExitBadInput;
     }
     aOut.context_.token_ = *text;
   }
-  const char* user = std::getenv("USER");
-  aOut.context_.author_ =
-    author != nullptr ? author : (user != nullptr ? user : "unknown");
   aOut.context_.fromVersion_ = from;
   aOut.context_.wait_ = wait != 0;
   aOut.context_.json_ = json != 0;
--- a/tools/coltsfootshedd/main.cpp
+++ b/tools/coltsfootshedd/main.cpp
@@ -5,6 +5,7 @@
 #include "coltsfootshed/Peers/PeersTask.h"
 #include "coltsfootshed/Requests/RequestsTask.h"
 #include "coltsfootshed/Support/File.h"
+#include "coltsfootshed/Support/OptionText.h"
 
 #include <csignal>
 #include <cstdio>
@@ -60,10 +61,9 @@
     return std::nullopt;
   }
   Options options;
-  options.settingsPath_ = settings == nullptr ? "" : settings;
+  options.settingsPath_ = TakeOptionText(settings);
   options.checkOnly_ = check != 0;
   options.showVersion_ = version != 0;
-  free(settings);
   return options;
 }
 
