--- /dev/null
+++ b/include/coltsfootshed/Node/ServiceLeader.h
@@ -0,0 +1,110 @@
+/// \file
+/// Leads one service: loads its state from the store, carries the scheduler's
+/// orders to targets and store, and brings back their answers.
+#ifndef COLTSFOOTSHED_NODE_SERVICELEADER_H
+#define COLTSFOOTSHED_NODE_SERVICELEADER_H
+
+#include "coltsfootshed/Scheduling/Scheduler.h"
+#include "coltsfootshed/Store/PrefixFollower.h"
+
+namespace coltsfootshed {
+
+class ServiceLeader final : private PrefixListener
+{
+public:
+  struct Dependencies
+  {
+    event_base* base_ = nullptr;
+    const Clock& clock_;
+    const Clock& timeOfDay_;
+    KeyValueStore& store_;
+    TargetCalls& targets_;
+    AdviceCalls* advice_ = nullptr; ///< null: none is configured
+  };
+  struct Options
+  {
+    std::string service_;
+    Fence fence_ = 0; ///< revision of the leader's key
+    Millis lease_{ 5000 };
+    Millis stopTime_{ 1000 };
+    Millis keepEnded_{ 120000 };
+    double farFactor_ = 1;
+  };
+
+  /// aOnAbdicate runs, later, when a higher fence was found.
+  ServiceLeader(Dependencies aDependencies,
+                Options aOptions,
+                std::function<void()> aOnAbdicate);
+  ~ServiceLeader() override;
+  ServiceLeader(const ServiceLeader&) = delete;
+  ServiceLeader& operator=(const ServiceLeader&) = delete;
+
+  void AddJob(JobRecord aRecord);
+  void CancelJob(std::string_view aJob);
+  void RegisterTarget(const TargetInfo& aTarget);
+  void UnregisterTarget(const std::string& aId);
+  void SetVacating(std::span<const std::string> aTargets);
+
+  /// True once the saved state is loaded.
+  bool IsLoaded() const { return loaded_; }
+  const Scheduler& State() const { return scheduler_; }
+
+private:
+  void OnSnapshot(std::vector<StoreItem> aItems) override;
+  void OnEvent(const StoreEvent& aEvent) override;
+  void Apply(const StoreItem& aItem);
+  void LoadRoster();
+  void LoadProgress();
+  void ReadProgressPage(const std::string& aAfter);
+  void Loaded();
+  void Retry(std::function<void()> aStep);
+
+  void Kick();
+  void Run();
+  void Carry(SchedulerOrder& aOrder);
+  void CarryHold(const TargetHold& aHold);
+  void CarryStart(const TargetStart& aStart);
+  void CarryStop(const TargetStop& aStop);
+  void CarryPace(const TargetPace& aPace);
+  void CarryAdvice(const AskAdvice& aAsk);
+  void CarrySave(const SaveProgress& aSave);
+  void CarryRoster(const SaveRoster& aRoster);
+  bool IsFencedOff(const CommitResult& aResult);
+  void Abdicate();
+  void Collect();
+
+  /// Wraps a callback so that it does nothing once this leader is gone.
+  template<typename F>
+  auto Guard(F aFunction)
+  {
+    return [alive = std::weak_ptr<bool>(alive_),
+            function = std::move(aFunction)](const auto&... aArguments) {
+      if (!alive.expired()) {
+        function(aArguments...);
+      }
+    };
+  }
+
+  Dependencies with_;
+  Options options_;
+  std::function<void()> onAbdicate_;
+  Scheduler scheduler_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  Timer runTimer_;
+  Timer retryTimer_;
+  Timer collectTimer_;
+  std::function<void()> retryStep_;
+  bool loaded_ = false;
+  bool progressLoaded_ = false;
+  bool kicked_ = false;
+  bool running_ = false;
+  bool abdicated_ = false;
+  Revision rosterRevision_ = 0;
+  std::map<std::string, std::pair<std::string, Revision>> progress_;
+  std::map<std::string, Millis> endedSince_;
+  std::unique_ptr<PrefixFollower> work_;
+};
+
+} // namespace coltsfootshed
+
+#endif
--- a/include/coltsfootshed/Support/Clock.h
+++ b/include/coltsfootshed/Support/Clock.h
@@ -5,6 +5,7 @@
 #define COLTSFOOTSHED_SUPPORT_CLOCK_H
 
 #include <chrono>
+#include <ctime>
 
 namespace coltsfootshed {
 
@@ -31,6 +32,33 @@
   }
 };
 
+/// A steady clock that also counts the time for which the machine was
+/// suspended, so that knowledge does not look younger than it is.
+class SuspendAwareClock final : public Clock
+{
+public:
+  Millis Now() const override
+  {
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return std::chrono::seconds(now.tv_sec) +
+           std::chrono::duration_cast<Millis>(
+             std::chrono::nanoseconds(now.tv_nsec));
+  }
+};
+
+/// The time of day in milliseconds since 1970. It may jump; only due times of
+/// scheduled jobs use it.
+class WallClock final : public Clock
+{
+public:
+  Millis Now() const override
+  {
+    auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<Millis>(sinceEpoch);
+  }
+};
+
 } // namespace coltsfootshed
 
 #endif
--- /dev/null
+++ b/lib/Jobs/Job.cpp
@@ -0,0 +1,260 @@
+#include "coltsfootshed/Jobs/Job.h"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <nlohmann/json.hpp>
+
+namespace coltsfootshed {
+
+using Json = nlohmann::json;
+
+static constexpr std::array<std::string_view, 5> kStateNames = { "queued",
+                                                                 "running",
+                                                                 "complete",
+                                                                 "failed",
+                                                                 "cancelled" };
+
+std::string_view NameOf(JobState aState)
+{
+  return kStateNames.at(static_cast<std::size_t>(aState));
+}
+
+std::optional<JobState> ParseJobState(std::string_view aText)
+{
+  auto found = std::find(kStateNames.begin(), kStateNames.end(), aText);
+  if (found == kStateNames.end()) {
+    return std::nullopt;
+  }
+  return static_cast<JobState>(found - kStateNames.begin());
+}
+
+bool Occurrence::IsDone() const
+{
+  return std::all_of(steps_.begin(), steps_.end(), [](const StepProgress& s) {
+    return s.IsDone();
+  });
+}
+
+bool Occurrence::IsReady(const StepSpec& aStep) const
+{
+  return std::all_of(
+    aStep.after_.begin(), aStep.after_.end(), [this](int aEarlier) {
+      return steps_.at(static_cast<std::size_t>(aEarlier)).IsDone();
+    });
+}
+
+Job::Job(JobRecord aRecord, Millis aSeenAt, Millis aAge)
+  : record_(std::move(aRecord))
+  , acceptedAt_(aSeenAt - std::max(aAge, Millis(0)))
+{
+  if (!IsTimed()) {
+    occurrences_.emplace(0, NewOccurrence(0));
+    created_ = 1;
+  }
+}
+
+Occurrence Job::NewOccurrence(int aNumber) const
+{
+  Occurrence occurrence;
+  occurrence.number_ = aNumber;
+  for (const StepSpec& step : record_.spec_.steps_) {
+    occurrence.steps_.emplace_back().tasks_.resize(
+      static_cast<std::size_t>(step.tasks_));
+  }
+  return occurrence;
+}
+
+bool Job::IsLasting() const
+{
+  return std::any_of(record_.spec_.steps_.begin(),
+                     record_.spec_.steps_.end(),
+                     [](const StepSpec& s) { return s.lasting_; });
+}
+
+bool Job::CreateDue(Millis aTimeOfDay)
+{
+  bool any = false;
+  const JobSpec& spec = record_.spec_;
+  while (!ended_ && IsTimed() && created_ < spec.occurrences_ &&
+         aTimeOfDay >= spec.firstDue_ + created_ * spec.interval_) {
+    occurrences_.emplace(created_, NewOccurrence(created_));
+    ++created_;
+    any = true;
+  }
+  return any;
+}
+
+TaskProgress* Job::Find(const TaskName& aTask)
+{
+  auto found = occurrences_.find(aTask.occurrence_);
+  if (found == occurrences_.end() || SpecOf(aTask) == nullptr) {
+    return nullptr;
+  }
+  auto& tasks =
+    found->second.steps_.at(static_cast<std::size_t>(aTask.step_)).tasks_;
+  auto index = static_cast<std::size_t>(aTask.index_);
+  return index < tasks.size() ? &tasks[index] : nullptr;
+}
+
+const StepSpec* Job::SpecOf(const TaskName& aTask) const
+{
+  auto step = static_cast<std::size_t>(aTask.step_);
+  return step < record_.spec_.steps_.size() ? &record_.spec_.steps_[step]
+                                            : nullptr;
+}
+
+void Job::Begin()
+{
+  if (state_ == JobState::Queued) {
+    state_ = JobState::Running;
+  }
+}
+
+void Job::MarkDone(const TaskName& aTask)
+{
+  TaskProgress* task = Find(aTask);
+  assert(task != nullptr && "only tasks of the job can end");
+  const StepSpec& spec = *SpecOf(aTask);
+  if (task->done_ || spec.lasting_) {
+    return;
+  }
+  Begin();
+  StepProgress& step = occurrences_.at(aTask.occurrence_)
+                         .steps_.at(static_cast<std::size_t>(aTask.step_));
+  if (spec.gang_) {
+    // One end of a gang stands for all of its members.
+    for (TaskProgress& member : step.tasks_) {
+      member.done_ = true;
+    }
+    step.done_ = spec.tasks_;
+  } else {
+    task->done_ = true;
+    ++step.done_;
+  }
+  CheckComplete();
+}
+
+void Job::CheckComplete()
+{
+  // Occurrences with live runs stay until those have ended.
+  std::erase_if(occurrences_, [this](const auto& aEntry) {
+    bool over = IsTimed() && aEntry.second.IsDone();
+    finished_ += over ? 1 : 0;
+    return over;
+  });
+  int owed = IsTimed() ? record_.spec_.occurrences_ : 1;
+  bool complete =
+    IsTimed() ? finished_ == owed : occurrences_.begin()->second.IsDone();
+  if (complete && !ended_) {
+    state_ = JobState::Complete;
+    ended_ = true;
+  }
+}
+
+void Job::MarkFailed(const TaskName& aTask, RunNumber aRun)
+{
+  const StepSpec& spec = *SpecOf(aTask);
+  TaskName counted = aTask;
+  counted.index_ = spec.gang_ ? 0 : aTask.index_;
+  TaskProgress* task = Find(counted);
+  if (task == nullptr || task->done_ || spec.lasting_) {
+    return;
+  }
+  Begin();
+  task->failedRuns_.insert(aRun);
+  if (static_cast<int>(task->failedRuns_.size()) >= record_.maxAttempts_ &&
+      !ended_) {
+    state_ = JobState::Failed;
+    ended_ = true;
+  }
+}
+
+void Job::Cancel()
+{
+  if (!ended_) {
+    state_ = JobState::Cancelled;
+    ended_ = true;
+  }
+}
+
+static Json TasksJson(const StepProgress& aStep)
+{
+  std::string done;
+  Json failed = Json::array();
+  Json checkpoints = Json::array();
+  for (std::size_t i = 0; i < aStep.tasks_.size(); ++i) {
+    const TaskProgress& task = aStep.tasks_[i];
+    done += task.done_ ? '1' : '0';
+    if (!task.done_ && !task.failedRuns_.empty()) {
+      failed.push_back({ i, task.failedRuns_ });
+    }
+    if (!task.done_ && !task.checkpoint_.empty()) {
+      checkpoints.push_back({ i, task.checkpoint_ });
+    }
+  }
+  return { { "done", done }, { "failed", failed }, { "saved", checkpoints } };
+}
+
+std::string Job::EncodeProgress() const
+{
+  Json progress = { { "service", record_.service_ },
+                    { "state", NameOf(state_) },
+                    { "created", created_ },
+                    { "finished", finished_ } };
+  Json occurrences = Json::array();
+  if (!ended_) {
+    for (const auto& [number, occurrence] : occurrences_) {
+      Json steps = Json::array();
+      for (const StepProgress& step : occurrence.steps_) {
+        steps.push_back(TasksJson(step));
+      }
+      occurrences.push_back({ number, steps });
+    }
+  }
+  progress["occurrences"] = occurrences;
+  return progress.dump();
+}
+
+static void LoadStep(const Json& aJson, StepProgress& aStep)
+{
+  std::string done = aJson.at("done");
+  for (std::size_t i = 0; i < aStep.tasks_.size() && i < done.size(); ++i) {
+    aStep.tasks_[i].done_ = done[i] == '1';
+    aStep.done_ += done[i] == '1' ? 1 : 0;
+  }
+  for (const Json& row : aJson.at("failed")) {
+    row.at(1).get_to(aStep.tasks_.at(row.at(0)).failedRuns_);
+  }
+  for (const Json& row : aJson.at("saved")) {
+    row.at(1).get_to(aStep.tasks_.at(row.at(0)).checkpoint_);
+  }
+}
+
+bool Job::LoadProgress(std::string_view aText)
+{
+  try {
+    Json json = Json::parse(aText);
+    auto state = ParseJobState(json.at("state").get<std::string>());
+    if (!state) {
+      return false;
+    }
+    created_ = json.at("created");
+    finished_ = json.at("finished");
+    occurrences_.clear();
+    for (const Json& row : json.at("occurrences")) {
+      Occurrence occurrence = NewOccurrence(row.at(0));
+      for (std::size_t i = 0; i < occurrence.steps_.size(); ++i) {
+        LoadStep(row.at(1).at(i), occurrence.steps_[i]);
+      }
+      occurrences_.emplace(occurrence.number_, std::move(occurrence));
+    }
+    state_ = *state;
+    ended_ = state_ != JobState::Queued && state_ != JobState::Running;
+    return true;
+  } catch (const std::exception&) {
+    return false;
+  }
+}
+
+} // namespace coltsfootshed
--- /dev/null
+++ b/lib/Jobs/JobSpec.cpp
@@ -0,0 +1,142 @@
+#include "coltsfootshed/Jobs/JobSpec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace coltsfootshed {
+
+using Json = nlohmann::json;
+
+static constexpr std::size_t kIdLength = 16;
+
+Resources& Resources::operator+=(const Resources& aOther)
+{
+  cpu_ += aOther.cpu_;
+  memory_ += aOther.memory_;
+  gpu_ += aOther.gpu_;
+  return *this;
+}
+
+Resources& Resources::operator-=(const Resources& aOther)
+{
+  cpu_ -= aOther.cpu_;
+  memory_ -= aOther.memory_;
+  gpu_ -= aOther.gpu_;
+  return *this;
+}
+
+bool Resources::FitsInto(const Resources& aRoom) const
+{
+  return (cpu_ == 0 || cpu_ <= aRoom.cpu_) &&
+         (memory_ == 0 || memory_ <= aRoom.memory_) &&
+         (gpu_ == 0 || gpu_ <= aRoom.gpu_);
+}
+
+bool IsJobId(std::string_view aText)
+{
+  return aText.size() == kIdLength &&
+         aText.find_first_not_of("0123456789abcdefABCDEF") ==
+           std::string_view::npos;
+}
+
+static Json StepJson(const StepSpec& aStep)
+{
+  return Json::array({ aStep.tasks_,
+                       aStep.each_.cpu_,
+                       aStep.each_.memory_,
+                       aStep.each_.gpu_,
+                       aStep.estimate_.count(),
+                       aStep.after_,
+                       aStep.gang_,
+                       aStep.sameRack_,
+                       aStep.copies_,
+                       aStep.checkpoints_,
+                       aStep.lasting_,
+                       aStep.fills_,
+                       aStep.label_,
+                       aStep.dataRack_,
+                       aStep.image_,
+                       aStep.maxPerTarget_,
+                       aStep.latencyTarget_.count(),
+                       aStep.mayMiss_ });
+}
+
+static StepSpec StepFrom(const Json& aJson)
+{
+  std::size_t at = 0;
+  auto next = [&](auto& aField) { aJson.at(at++).get_to(aField); };
+  auto nextMillis = [&](Millis& aField) {
+    aField = Millis(aJson.at(at++).get<std::int64_t>());
+  };
+  StepSpec step;
+  next(step.tasks_);
+  next(step.each_.cpu_);
+  next(step.each_.memory_);
+  next(step.each_.gpu_);
+  nextMillis(step.estimate_);
+  next(step.after_);
+  next(step.gang_);
+  next(step.sameRack_);
+  next(step.copies_);
+  next(step.checkpoints_);
+  next(step.lasting_);
+  next(step.fills_);
+  next(step.label_);
+  next(step.dataRack_);
+  next(step.image_);
+  next(step.maxPerTarget_);
+  nextMillis(step.latencyTarget_);
+  next(step.mayMiss_);
+  return step;
+}
+
+std::string EncodeRecord(const JobRecord& aRecord)
+{
+  Json steps = Json::array();
+  for (const StepSpec& step : aRecord.spec_.steps_) {
+    steps.push_back(StepJson(step));
+  }
+  Json record = { { "id", aRecord.id_ },
+                  { "queue", aRecord.queue_ },
+                  { "service", aRecord.service_ },
+                  { "payload", aRecord.spec_.payload_ },
+                  { "steps", steps },
+                  { "occurrences", aRecord.spec_.occurrences_ },
+                  { "first_due", aRecord.spec_.firstDue_.count() },
+                  { "interval", aRecord.spec_.interval_.count() },
+                  { "priority", aRecord.priority_ },
+                  { "attempts", aRecord.maxAttempts_ },
+                  { "stretch", aRecord.stretch_ },
+                  { "aim", aRecord.aim_.count() },
+                  { "accepted", aRecord.acceptedAt_.count() },
+                  { "advised", aRecord.advised_ } };
+  return record.dump();
+}
+
+Result<JobRecord> DecodeRecord(std::string_view aText)
+{
+  try {
+    Json json = Json::parse(aText);
+    JobRecord record;
+    record.id_ = json.at("id");
+    record.queue_ = json.at("queue");
+    record.service_ = json.at("service");
+    record.spec_.payload_ = json.at("payload");
+    for (const Json& step : json.at("steps")) {
+      record.spec_.steps_.push_back(StepFrom(step));
+    }
+    record.spec_.occurrences_ = json.at("occurrences");
+    record.spec_.firstDue_ = Millis(json.at("first_due"));
+    record.spec_.interval_ = Millis(json.at("interval"));
+    record.priority_ = json.at("priority");
+    record.maxAttempts_ = json.at("attempts");
+    record.stretch_ = json.at("stretch");
+    record.aim_ = Millis(json.at("aim"));
+    record.acceptedAt_ = Millis(json.at("accepted"));
+    record.advised_ = json.at("advised");
+    return record;
+  } catch (const Json::exception& failure) {
+    return Fail("read a job record", "", failure.what());
+  }
+}
+
+} // namespace coltsfootshed
--- /dev/null
+++ b/lib/Node/LeaderLinks.cpp
@@ -0,0 +1,213 @@
+#include "coltsfootshed/Node/LeaderLinks.h"
+
+#include "coltsfootshed/Observe/DecisionLog.h"
+
+#include <charconv>
+
+namespace coltsfootshed {
+
+/// Entry VMs answer each other in milliseconds; beyond this the store is asked.
+static constexpr Millis kLinkLimit{ 600 };
+static constexpr std::size_t kIdleConnections = 2;
+static constexpr int kOk = 200;
+static constexpr int kNotFound = 404;
+/// The asked VM does not lead the service.
+static constexpr int kNotLeader = 409;
+
+static constexpr const char* kJobPath = "/job";
+static constexpr const char* kCancelPath = "/cancel";
+static constexpr const char* kStatePath = "/state";
+static constexpr const char* kWaitingPath = "/waiting";
+static constexpr const char* kMetricsPath = "/metrics";
+
+LeaderLinks::LeaderLinks(event_base* aBase,
+                         const Clock& aClock,
+                         const LeaderTable& aTable,
+                         FindLocal aFindLocal)
+  : table_(aTable)
+  , findLocal_(std::move(aFindLocal))
+  , caller_(aBase, aClock, kIdleConnections)
+{
+}
+
+void LeaderLinks::Call(const std::string& aService,
+                       HttpRequest aRequest,
+                       std::function<void(Result<HttpAnswer>)> aOnAnswer)
+{
+  const Leadership* leader = table_.LeaderOf(aService);
+  auto peer = leader == nullptr ? std::nullopt : table_.PeersOf(leader->node_);
+  if (!peer) {
+    aOnAnswer(Fail("reach the leader", aService, "it has no leader now"));
+    return;
+  }
+  aRequest.headers_.emplace_back("Host", peer->Text());
+  caller_.Call(
+    *peer,
+    aRequest,
+    kLinkLimit,
+    Reuse::Any,
+    [this, peer = *peer, onAnswer = std::move(aOnAnswer)](CallResult aResult) {
+      if (aResult.end_ != CallEnd::Answered) {
+        caller_.CloseIdle(peer);
+        onAnswer(Fail("reach the leader", peer.Text(), "no answer"));
+        return;
+      }
+      if (aResult.answer_.code_ == kNotLeader) {
+        onAnswer(Fail("reach the leader", peer.Text(), "leads no longer"));
+        return;
+      }
+      onAnswer(std::move(aResult.answer_));
+    });
+}
+
+void LeaderLinks::AnnounceJob(const JobRecord& aRecord)
+{
+  if (ServiceLeader* local = findLocal_(aRecord.service_)) {
+    local->AddJob(aRecord);
+    return;
+  }
+  Call(aRecord.service_,
+       { "POST", kJobPath, {}, EncodeRecord(aRecord) },
+       [id = aRecord.id_](const Result<HttpAnswer>& aAnswer) {
+         if (!aAnswer) {
+           LogDecision("job-not-announced",
+                       { { "job", id }, { "error", aAnswer.error().Text() } });
+         }
+       });
+}
+
+void LeaderLinks::AnnounceCancel(const std::string& aService,
+                                 const std::string& aJob)
+{
+  if (ServiceLeader* local = findLocal_(aService)) {
+    local->CancelJob(aJob);
+    return;
+  }
+  Call(aService,
+       { "POST",
+         std::string(kCancelPath) + "?service=" + aService + "&job=" + aJob,
+         {},
+         {} },
+       [aJob](const Result<HttpAnswer>& aAnswer) {
+         if (!aAnswer) {
+           LogDecision(
+             "cancel-not-announced",
+             { { "job", aJob }, { "error", aAnswer.error().Text() } });
+         }
+       });
+}
+
+static StateAnswer LocalState(const ServiceLeader& aLeader,
+                              std::string_view aJob)
+{
+  if (!aLeader.IsLoaded()) {
+    return Fail("ask for a job's state", "", "the leader is still loading");
+  }
+  return aLeader.State().StateOf(aJob);
+}
+
+void LeaderLinks::AskState(const std::string& aService,
+                           const std::string& aJob,
+                           std::function<void(StateAnswer)> aOnAnswer)
+{
+  if (const ServiceLeader* local = findLocal_(aService)) {
+    aOnAnswer(LocalState(*local, aJob));
+    return;
+  }
+  Call(aService,
+       { "GET",
+         std::string(kStatePath) + "?service=" + aService + "&job=" + aJob,
+         {},
+         {} },
+       [onAnswer = std::move(aOnAnswer)](const Result<HttpAnswer>& aAnswer) {
+         if (!aAnswer) {
+           onAnswer(tl::unexpected(aAnswer.error()));
+         } else if (aAnswer->code_ == kNotFound) {
+           onAnswer(std::optional<JobState>());
+         } else if (auto state = ParseJobState(aAnswer->body_)) {
+           onAnswer(state);
+         } else {
+           onAnswer(Fail("ask for a job's state", "", "unreadable answer"));
+         }
+       });
+}
+
+void LeaderLinks::AskWaiting(const std::string& aService,
+                             const std::string& aQueue,
+                             std::function<void(Result<int>)> aOnAnswer)
+{
+  const ServiceLeader* local = findLocal_(aService);
+  if (local != nullptr && local->IsLoaded()) {
+    aOnAnswer(local->State().Waiting(aQueue));
+    return;
+  }
+  Call(aService,
+       { "GET",
+         std::string(kWaitingPath) + "?service=" + aService +
+           "&queue=" + aQueue,
+         {},
+         {} },
+       [onAnswer = std::move(aOnAnswer)](const Result<HttpAnswer>& aAnswer) {
+         if (!aAnswer) {
+           onAnswer(tl::unexpected(aAnswer.error()));
+           return;
+         }
+         int waiting = 0;
+         const std::string& body = aAnswer->body_;
+         auto parsed =
+           std::from_chars(body.data(), body.data() + body.size(), waiting);
+         if (parsed.ec != std::errc()) {
+           onAnswer(Fail("ask for waiting jobs", "", "unreadable answer"));
+           return;
+         }
+         onAnswer(waiting);
+       });
+}
+
+HttpAnswer LeaderLinks::Answer(const HttpRequest& aRequest)
+{
+  std::string_view path = PathOf(aRequest.target_);
+  if (path == kMetricsPath) {
+    return { kOk, { { "Content-Type", "text/plain" } }, MetricsText() };
+  }
+  if (path == kJobPath) {
+    auto record = DecodeRecord(aRequest.body_);
+    if (!record) {
+      return { 400, {}, record.error().Text() };
+    }
+    ServiceLeader* local = findLocal_(record->service_);
+    if (local == nullptr) {
+      return { kNotLeader, {}, {} };
+    }
+    local->AddJob(std::move(*record));
+    return { kOk, {}, {} };
+  }
+  std::string job = QueryValue(aRequest.target_, "job");
+  ServiceLeader* local =
+    findLocal_(QueryValue(aRequest.target_, "service"));
+  if (local == nullptr || !local->IsLoaded()) {
+    return { kNotLeader, {}, {} };
+  }
+  if (path == kCancelPath) {
+    local->CancelJob(job);
+    return { kOk, {}, {} };
+  }
+  if (path == kStatePath) {
+    auto state = local->State().StateOf(job);
+    return state ? HttpAnswer{ kOk, {}, std::string(NameOf(*state)) }
+                 : HttpAnswer{ kNotFound, {}, {} };
+  }
+  if (path == kWaitingPath) {
+    int waiting =
+      local->State().Waiting(QueryValue(aRequest.target_, "queue"));
+    return { kOk, {}, std::to_string(waiting) };
+  }
+  return { kNotFound, {}, "unknown path" };
+}
+
+void LeaderLinks::Serve(const std::shared_ptr<ServerExchange>& aExchange)
+{
+  aExchange->Reply(Answer(aExchange->Request()));
+}
+
+} // namespace coltsfootshed
--- /dev/null
+++ b/lib/Node/ServiceLeader.cpp
@@ -0,0 +1,475 @@
+#include "coltsfootshed/Node/ServiceLeader.h"
+
+#include "coltsfootshed/Observe/DecisionLog.h"
+#include "coltsfootshed/Store/Keys.h"
+
+#include <algorithm>
+#include <functional>
+#include <nlohmann/json.hpp>
+
+namespace coltsfootshed {
+
+using Json = nlohmann::json;
+
+/// Events that come close together lead to one decision.
+static constexpr Millis kGather{ 4 };
+static constexpr Millis kLoadRetry{ 100 };
+/// Pause between watches for work; jobs are also announced directly.
+static constexpr Millis kWorkPause{ 700 };
+static constexpr Millis kCollectPause{ 5000 };
+/// Ended jobs deleted in one transaction, three keys each.
+static constexpr std::size_t kMostCollected = 10;
+
+static std::string EncodeRoster(const std::vector<TargetInfo>& aTargets)
+{
+  Json rows = Json::array();
+  for (const TargetInfo& target : aTargets) {
+    rows.push_back({ target.id_, target.address_.Text() });
+  }
+  return rows.dump();
+}
+
+static std::vector<TargetInfo> DecodeRoster(const std::string& aText,
+                                            const std::string& aService)
+{
+  std::vector<TargetInfo> targets;
+  Json rows = Json::parse(aText, nullptr, false);
+  if (!rows.is_array()) {
+    LogBelief("roster-unreadable", { { "service", aService } });
+    return targets;
+  }
+  for (const Json& row : rows) {
+    auto address = ParseEndpoint(row.at(1).get<std::string>());
+    if (address) {
+      TargetInfo target;
+      target.id_ = row.at(0);
+      target.service_ = aService;
+      target.address_ = *address;
+      targets.push_back(std::move(target));
+    }
+  }
+  return targets;
+}
+
+ServiceLeader::ServiceLeader(Dependencies aDependencies,
+                             Options aOptions,
+                             std::function<void()> aOnAbdicate)
+  : with_(aDependencies)
+  , options_(std::move(aOptions))
+  , onAbdicate_(std::move(aOnAbdicate))
+  , scheduler_(with_.clock_,
+               with_.timeOfDay_,
+               { options_.service_,
+                 options_.fence_,
+                 options_.lease_,
+                 options_.stopTime_,
+                 options_.farFactor_ })
+  , runTimer_(with_.base_, [this] { Run(); })
+  , retryTimer_(with_.base_, [this] { std::exchange(retryStep_, nullptr)(); })
+  , collectTimer_(with_.base_, [this] { Collect(); })
+{
+  LoadRoster();
+  collectTimer_.Start(kCollectPause);
+}
+
+ServiceLeader::~ServiceLeader() = default;
+
+void ServiceLeader::Retry(std::function<void()> aStep)
+{
+  retryStep_ = std::move(aStep);
+  retryTimer_.Start(kLoadRetry);
+}
+
+void ServiceLeader::LoadRoster()
+{
+  with_.store_.Get(
+    keys::Roster(options_.service_),
+    Guard([this](const Result<std::optional<StoreItem>>& aItem) {
+      if (!aItem) {
+        Retry([this] { LoadRoster(); });
+        return;
+      }
+      if (aItem->has_value()) {
+        rosterRevision_ = (*aItem)->revision_;
+        scheduler_.LoadRoster(
+          DecodeRoster((*aItem)->value_, options_.service_));
+      }
+      LoadProgress();
+    }));
+}
+
+void ServiceLeader::LoadProgress()
+{
+  progress_.clear();
+  ReadProgressPage("");
+}
+
+/// Only this leader writes progress from now on, so pages agree.
+void ServiceLeader::ReadProgressPage(const std::string& aAfter)
+{
+  std::string prefix = keys::ProgressPrefix(options_.service_);
+  with_.store_.Range(
+    prefix, aAfter, Guard([this, prefix](const Result<StorePage>& aPage) {
+      if (!aPage) {
+        Retry([this] { LoadProgress(); });
+        return;
+      }
+      for (const StoreItem& item : aPage->items_) {
+        progress_[std::string(keys::After(item.key_, prefix))] = {
+          item.value_, item.revision_
+        };
+      }
+      if (aPage->hasMore_ && !aPage->items_.empty()) {
+        ReadProgressPage(aPage->items_.back().key_);
+        return;
+      }
+      progressLoaded_ = true;
+      work_ = std::make_unique<PrefixFollower>(
+        with_.base_,
+        with_.clock_,
+        with_.store_,
+        static_cast<PrefixListener&>(*this),
+        PrefixFollower::Options{
+          keys::kWorkPrefix, Millis(2000), kWorkPause },
+        options_.fence_);
+    }));
+}
+
+void ServiceLeader::OnSnapshot(std::vector<StoreItem> aItems)
+{
+  // Jobs come before their saved progress, and cancel marks after it.
+  auto isCancel = [](const StoreItem& aItem) {
+    return !keys::After(aItem.key_, keys::kCancelPrefix).empty();
+  };
+  auto cancels =
+    std::stable_partition(aItems.begin(), aItems.end(), std::not_fn(isCancel));
+  std::for_each(
+    aItems.begin(), cancels, [this](const StoreItem& i) { Apply(i); });
+  if (!loaded_) {
+    Loaded();
+  }
+  std::for_each(
+    cancels, aItems.end(), [this](const StoreItem& i) { Apply(i); });
+  Kick();
+}
+
+void ServiceLeader::Loaded()
+{
+  loaded_ = true;
+  for (const auto& [job, saved] : progress_) {
+    scheduler_.LoadProgress(job, saved.first, saved.second);
+  }
+  progress_.clear();
+  LogBelief("service-loaded",
+            { { "service", options_.service_ },
+              { "fence", std::to_string(options_.fence_) },
+              { "jobs", std::to_string(scheduler_.Jobs()) } });
+}
+
+void ServiceLeader::OnEvent(const StoreEvent& aEvent)
+{
+  if (aEvent.deleted_) {
+    std::string_view job = keys::After(aEvent.item_.key_, keys::kJobPrefix);
+    if (!job.empty()) {
+      scheduler_.ForgetJob(job);
+    }
+    return;
+  }
+  Apply(aEvent.item_);
+  Kick();
+}
+
+void ServiceLeader::Apply(const StoreItem& aItem)
+{
+  std::string_view cancelled = keys::After(aItem.key_, keys::kCancelPrefix);
+  if (!cancelled.empty()) {
+    if (aItem.value_ == options_.service_) {
+      scheduler_.CancelJob(cancelled);
+    }
+    return;
+  }
+  auto record = DecodeRecord(aItem.value_);
+  if (!record) {
+    LogBelief("job-unreadable",
+              { { "key", aItem.key_ }, { "error", record.error().Text() } });
+    return;
+  }
+  scheduler_.AddJob(std::move(*record));
+}
+
+void ServiceLeader::AddJob(JobRecord aRecord)
+{
+  // Until the saved state is loaded, the store's list brings the job.
+  if (loaded_) {
+    scheduler_.AddJob(std::move(aRecord));
+    Kick();
+  }
+}
+
+void ServiceLeader::CancelJob(std::string_view aJob)
+{
+  if (loaded_) {
+    scheduler_.CancelJob(aJob);
+    Kick();
+  }
+}
+
+void ServiceLeader::RegisterTarget(const TargetInfo& aTarget)
+{
+  scheduler_.RegisterTarget(aTarget);
+  Kick();
+}
+
+void ServiceLeader::UnregisterTarget(const std::string& aId)
+{
+  scheduler_.UnregisterTarget(aId);
+  Kick();
+}
+
+void ServiceLeader::SetVacating(std::span<const std::string> aTargets)
+{
+  scheduler_.SetVacating(aTargets);
+  Kick();
+}
+
+void ServiceLeader::Kick()
+{
+  if (!kicked_ && loaded_ && !running_) {
+    kicked_ = true;
+    runTimer_.Start(kGather);
+  }
+}
+
+void ServiceLeader::Run()
+{
+  kicked_ = false;
+  if (abdicated_) {
+    return;
+  }
+  running_ = true;
+  std::vector<SchedulerOrder> orders = scheduler_.Decide();
+  for (SchedulerOrder& order : orders) {
+    Carry(order);
+  }
+  running_ = false;
+  Millis pause = scheduler_.NextDue() - with_.clock_.Now();
+  runTimer_.Start(std::max(pause, kGather));
+}
+
+void ServiceLeader::Carry(SchedulerOrder& aOrder)
+{
+  if (auto* hold = std::get_if<TargetHold>(&aOrder)) {
+    CarryHold(*hold);
+  } else if (auto* start = std::get_if<TargetStart>(&aOrder)) {
+    CarryStart(*start);
+  } else if (auto* stop = std::get_if<TargetStop>(&aOrder)) {
+    CarryStop(*stop);
+  } else if (auto* pace = std::get_if<TargetPace>(&aOrder)) {
+    CarryPace(*pace);
+  } else if (auto* ask = std::get_if<AskAdvice>(&aOrder)) {
+    CarryAdvice(*ask);
+  } else if (auto* save = std::get_if<SaveProgress>(&aOrder)) {
+    CarrySave(*save);
+  } else if (auto* roster = std::get_if<SaveRoster>(&aOrder)) {
+    CarryRoster(*roster);
+  }
+}
+
+void ServiceLeader::CarryHold(const TargetHold& aHold)
+{
+  const TargetInfo& info = scheduler_.Targets().at(aHold.target_).info_;
+  with_.targets_.Hold(
+    info,
+    aHold.order_,
+    Guard([this, id = aHold.target_](const HoldAnswer& aAnswer) {
+      scheduler_.OnHold(id, aAnswer);
+      if (aAnswer.end_ == OrderEnd::FenceTooLow) {
+        Abdicate();
+      }
+      Kick();
+    }));
+}
+
+void ServiceLeader::CarryStart(const TargetStart& aStart)
+{
+  const TargetInfo& info = scheduler_.Targets().at(aStart.target_).info_;
+  RunKey run{ aStart.order_.task_, aStart.order_.run_ };
+  with_.targets_.Start(
+    info,
+    aStart.order_,
+    Guard([this, id = aStart.target_, run](const OrderAnswer& aAnswer) {
+      scheduler_.OnStart(id, run, aAnswer);
+      if (aAnswer.end_ == OrderEnd::FenceTooLow) {
+        Abdicate();
+      }
+      Kick();
+    }));
+}
+
+void ServiceLeader::CarryStop(const TargetStop& aStop)
+{
+  const TargetInfo& info = scheduler_.Targets().at(aStop.target_).info_;
+  RunKey run{ aStop.order_.task_, aStop.order_.run_ };
+  with_.targets_.Stop(
+    info,
+    aStop.order_,
+    Guard([this, id = aStop.target_, run](const OrderAnswer& aAnswer) {
+      scheduler_.OnStop(id, run, aAnswer);
+      if (aAnswer.end_ == OrderEnd::FenceTooLow) {
+        Abdicate();
+      }
+      Kick();
+    }));
+}
+
+void ServiceLeader::CarryPace(const TargetPace& aPace)
+{
+  const TargetInfo& info = scheduler_.Targets().at(aPace.target_).info_;
+  RunKey run{ aPace.order_.task_, aPace.order_.run_ };
+  with_.targets_.Pace(
+    info,
+    aPace.order_,
+    Guard([this, id = aPace.target_, run](const OrderAnswer& aAnswer) {
+      scheduler_.OnPace(id, run, aAnswer);
+      Kick();
+    }));
+}
+
+void ServiceLeader::CarryAdvice(const AskAdvice& aAsk)
+{
+  if (with_.advice_ == nullptr) {
+    LogBelief("advice-missing", { { "step", aAsk.step_.StepText() } });
+    return;
+  }
+  with_.advice_->Ask(aAsk.step_.StepText(),
+                     aAsk.targets_,
+                     Guard([this, aAsk](const Advice& aAdvice) {
+                       scheduler_.OnAdvice(
+                         aAsk.step_, aAsk.targets_, aAdvice);
+                       Kick();
+                     }));
+}
+
+/// Only the leader whose key still has its first revision may write.
+static void AddLeaderCondition(Transaction& aTransaction,
+                               const std::string& aService,
+                               Fence aFence)
+{
+  aTransaction.conditions_.push_back({ keys::Leader(aService), aFence });
+}
+
+bool ServiceLeader::IsFencedOff(const CommitResult& aResult)
+{
+  if (aResult.end_ != CommitEnd::ConditionFailed) {
+    return false;
+  }
+  std::string key = keys::Leader(options_.service_);
+  return std::any_of(aResult.current_.begin(),
+                     aResult.current_.end(),
+                     [&](const StoreItem& aItem) {
+                       return aItem.key_ == key && aItem.revision_ != 0 &&
+                              aItem.revision_ != options_.fence_;
+                     });
+}
+
+void ServiceLeader::CarrySave(const SaveProgress& aSave)
+{
+  Transaction transaction;
+  AddLeaderCondition(transaction, options_.service_, options_.fence_);
+  for (const SaveProgress::Entry& entry : aSave.entries_) {
+    std::string key = keys::Progress(options_.service_, entry.job_);
+    transaction.conditions_.push_back({ key, entry.revision_ });
+    transaction.puts_.push_back({ key, entry.progress_ });
+  }
+  with_.store_.Commit(
+    transaction, Guard([this, aSave](const CommitResult& aResult) {
+      bool committed = aResult.end_ == CommitEnd::Committed;
+      if (!committed) {
+        LogBelief("progress-not-saved",
+                  { { "service", options_.service_ },
+                    { "jobs", std::to_string(aSave.entries_.size()) },
+                    { "reason", aResult.reason_ } });
+      }
+      // An earlier write may have been carried out without an answer.
+      std::string prefix = keys::ProgressPrefix(options_.service_);
+      for (const StoreItem& item : aResult.current_) {
+        std::string_view job = keys::After(item.key_, prefix);
+        if (!job.empty()) {
+          scheduler_.OnProgressRevision(job, item.revision_);
+        }
+      }
+      scheduler_.OnSaved(aSave, committed ? aResult.revision_ : 0);
+      if (IsFencedOff(aResult)) {
+        Abdicate();
+      }
+      Kick();
+    }));
+}
+
+void ServiceLeader::CarryRoster(const SaveRoster& aRoster)
+{
+  Transaction transaction;
+  std::string key = keys::Roster(options_.service_);
+  AddLeaderCondition(transaction, options_.service_, options_.fence_);
+  transaction.conditions_.push_back({ key, rosterRevision_ });
+  transaction.puts_.push_back({ key, EncodeRoster(aRoster.targets_) });
+  with_.store_.Commit(
+    transaction, Guard([this, key](const CommitResult& aResult) {
+      bool committed = aResult.end_ == CommitEnd::Committed;
+      if (committed) {
+        rosterRevision_ = aResult.revision_;
+      }
+      for (const StoreItem& item : aResult.current_) {
+        if (item.key_ == key) {
+          rosterRevision_ = item.revision_;
+        }
+      }
+      scheduler_.OnRosterSaved(committed);
+      if (IsFencedOff(aResult)) {
+        Abdicate();
+      }
+      Kick();
+    }));
+}
+
+void ServiceLeader::Abdicate()
+{
+  if (!abdicated_) {
+    abdicated_ = true;
+    onAbdicate_();
+  }
+}
+
+/// Deletes jobs that ended long enough ago.
+void ServiceLeader::Collect()
+{
+  collectTimer_.Start(kCollectPause);
+  Transaction transaction;
+  AddLeaderCondition(transaction, options_.service_, options_.fence_);
+  Millis now = with_.clock_.Now();
+  std::size_t collected = 0;
+  for (const std::string& job : scheduler_.EndedJobs()) {
+    Millis since = endedSince_.try_emplace(job, now).first->second;
+    if (now - since < options_.keepEnded_ + kCollectPause ||
+        collected == kMostCollected) {
+      continue;
+    }
+    ++collected;
+    endedSince_.erase(job);
+    transaction.deletes_.push_back(keys::Job(job));
+    transaction.deletes_.push_back(keys::Cancel(job));
+    transaction.deletes_.push_back(keys::Progress(options_.service_, job));
+  }
+  if (collected == 0 || abdicated_) {
+    return;
+  }
+  with_.store_.Commit(
+    transaction, Guard([this](const CommitResult& aResult) {
+      LogBelief("jobs-collected",
+                { { "service", options_.service_ },
+                  { "done",
+                    aResult.end_ == CommitEnd::Committed ? "1" : "0" } });
+    }));
+}
+
+} // namespace coltsfootshed
--- /dev/null
+++ b/lib/Scheduling/SchedulerHolds.cpp
@@ -0,0 +1,554 @@
+// Holding targets: leases, lives, what runs there and what ended there.
+#include "coltsfootshed/Observe/DecisionLog.h"
+#include "coltsfootshed/Scheduling/Scheduler.h"
+
+#include <algorithm>
+
+namespace coltsfootshed {
+
+/// How long a hold may wait for an end. Bounds the age of leases and of the
+/// belief that a target lives.
+static constexpr Millis kHoldWait{ 1500 };
+/// Where tasks that fill run beside tasks that serve, their tails are read
+/// this often.
+static constexpr Millis kTailWait{ 500 };
+/// Looks at a target on which nothing runs; each is priced.
+static constexpr Millis kIdlePause{ 3000 };
+/// Pause after a hold without an answer.
+static constexpr Millis kFailedPause{ 250 };
+/// Longest pause between holds of a target that does not answer.
+static constexpr Millis kLongFailedPause{ 1000 };
+/// A hold is not delayed longer than this by ends that are not saved yet.
+static constexpr Millis kSavePause{ 400 };
+/// The target lists at most this many ends at a time, from the protocol.
+static constexpr std::size_t kMostEnds = 500;
+/// Window of the evidence that a target fails what it starts.
+static constexpr Millis kEvidenceWindow{ 6000 };
+/// Distinct jobs that must fail within the window.
+static constexpr std::size_t kEvidenceJobs = 2;
+/// How long a target that fails its tasks gets no starts.
+static constexpr Millis kGreyPause{ 6000 };
+/// Delay before a lasting task that failed is started again.
+static constexpr Millis kRestartDelay{ 100 };
+
+static std::string Text(std::int64_t aNumber)
+{
+  return std::to_string(aNumber);
+}
+
+void Scheduler::LoadRoster(std::span<const TargetInfo> aTargets)
+{
+  for (const TargetInfo& info : aTargets) {
+    auto [entry, isNew] = targets_.try_emplace(info.id_, info);
+    entry->second.inRoster_ = true;
+  }
+  MayAct();
+}
+
+void Scheduler::RegisterTarget(const TargetInfo& aTarget)
+{
+  if (aTarget.service_ != settings_.service_) {
+    UnregisterTarget(aTarget.id_);
+    return;
+  }
+  auto [entry, isNew] = targets_.try_emplace(aTarget.id_, aTarget);
+  TargetState& target = entry->second;
+  bool changed = isNew || !target.registered_ ||
+                 target.info_.draining_ != aTarget.draining_ ||
+                 target.info_.born_ != aTarget.born_;
+  if (changed) {
+    LogBelief("target",
+              { { "target", aTarget.id_ },
+                { "service", aTarget.service_ },
+                { "address", aTarget.address_.Text() },
+                { "draining", aTarget.draining_ ? "1" : "0" },
+                { "born", Text(aTarget.born_) } });
+    target.nextHoldAt_ = std::min(target.nextHoldAt_, clock_.Now());
+  }
+  target.info_ = aTarget;
+  target.registered_ = true;
+  rosterStale_ |= !target.inRoster_;
+  MayAct();
+}
+
+void Scheduler::UnregisterTarget(std::string_view aId)
+{
+  auto found = targets_.find(aId);
+  if (found == targets_.end() || !found->second.registered_) {
+    return;
+  }
+  found->second.registered_ = false;
+  LogBelief("target-unlisted",
+            { { "target", std::string(aId) },
+              { "runs", std::to_string(found->second.runs_.size()) } });
+  MayAct();
+}
+
+void Scheduler::SetVacating(std::span<const std::string> aTargets)
+{
+  for (auto& [id, target] : targets_) {
+    bool vacating =
+      std::find(aTargets.begin(), aTargets.end(), id) != aTargets.end();
+    if (vacating != target.vacating_) {
+      target.vacating_ = vacating;
+      MayAct();
+    }
+  }
+}
+
+void Scheduler::DecideHolds(std::vector<SchedulerOrder>& aOrders)
+{
+  Millis now = clock_.Now();
+  for (auto& [id, target] : targets_) {
+    bool matters =
+      target.registered_ || !target.runs_.empty() || !target.held_;
+    if (target.holdInFlight_ || !matters) {
+      continue;
+    }
+    if (now < target.nextHoldAt_) {
+      Due(target.nextHoldAt_);
+      continue;
+    }
+    target.holdInFlight_ = true;
+    target.holdSentAt_ = now;
+    aOrders.emplace_back(TargetHold{ id, NextHold(target) });
+  }
+}
+
+static bool HasHarmRisk(const TargetState& aTarget)
+{
+  bool serves = false;
+  bool fills = false;
+  for (const auto& [key, run] : aTarget.runs_) {
+    serves |= run.serves_;
+    fills |= run.fills_;
+  }
+  return serves && fills;
+}
+
+HoldOrder Scheduler::NextHold(TargetState& aTarget)
+{
+  HoldOrder hold;
+  hold.fence_ = settings_.fence_;
+  hold.acknowledged_ = aTarget.acknowledged_;
+  hold.freshConnection_ = aTarget.failedHolds_ > 0;
+  if (aTarget.runs_.empty()) {
+    return hold;
+  }
+  if (aTarget.clockRead_ != 0) {
+    hold.leaseUntil_ = aTarget.LeaseEnd(clock_.Now(), settings_.lease_);
+    aTarget.leaseGranted_ =
+      std::max(aTarget.leaseGranted_, *hold.leaseUntil_);
+  }
+  bool mayWait = aTarget.unsaved_.empty() && aTarget.failedHolds_ == 0 &&
+                 aTarget.held_;
+  if (mayWait) {
+    hold.wait_ = HasHarmRisk(aTarget) ? kTailWait : kHoldWait;
+  }
+  return hold;
+}
+
+Millis Scheduler::HoldPause(const TargetState& aTarget) const
+{
+  if (aTarget.runs_.empty()) {
+    return aTarget.unsaved_.empty() ? kIdlePause : kSavePause;
+  }
+  return aTarget.unsaved_.empty() ? Millis(0) : kSavePause;
+}
+
+void Scheduler::OnHold(const std::string& aTarget, const HoldAnswer& aAnswer)
+{
+  auto found = targets_.find(aTarget);
+  if (found == targets_.end()) {
+    return;
+  }
+  TargetState& target = found->second;
+  target.holdInFlight_ = false;
+  if (aAnswer.end_ != OrderEnd::Done) {
+    OnHoldFailed(target, aAnswer.end_);
+    return;
+  }
+  Millis now = clock_.Now();
+  if (target.failedHolds_ > 1) {
+    LogBelief("target-regained",
+              { { "target", aTarget },
+                { "silent_ms", Text((now - target.lastAnswerAt_).count()) } });
+  }
+  target.failedHolds_ = 0;
+  target.lastAnswerAt_ = now;
+  if (aAnswer.born_ != target.born_) {
+    StartNewLife(target, aAnswer);
+  }
+  // The clock was read after the hold was sent and before now.
+  target.clockRead_ = aAnswer.clock_;
+  target.clockReadAt_ = now;
+  bool first = !target.held_;
+  target.held_ = true;
+  if (first) {
+    // What an earlier scheduler may have granted until now.
+    target.leaseGranted_ = std::max(
+      target.leaseGranted_, aAnswer.clock_ + settings_.lease_.count());
+  }
+  TakeEnds(target, aAnswer);
+  TakeRunning(target, aAnswer);
+  DropMissing(target, aAnswer);
+  AcknowledgeSaved(target);
+  target.nextHoldAt_ = now + HoldPause(target);
+  if (first) {
+    // The lease of what was found is renewed at once.
+    target.nextHoldAt_ = target.runs_.empty() ? target.nextHoldAt_ : now;
+    MayAct();
+  }
+}
+
+void Scheduler::OnHoldFailed(TargetState& aTarget, OrderEnd aEnd)
+{
+  Millis now = clock_.Now();
+  if (aEnd == OrderEnd::FenceTooLow) {
+    abdicated_ = true;
+    LogBelief("fenced-off",
+              { { "target", aTarget.info_.id_ },
+                { "fence", std::to_string(settings_.fence_) } });
+    return;
+  }
+  if (aEnd == OrderEnd::WrongTarget) {
+    // Another id answers at that address: this one is over.
+    LogBelief("target-over",
+              { { "target", aTarget.info_.id_ },
+                { "address", aTarget.info_.address_.Text() } });
+    DropRuns(aTarget, "other life at the address", now);
+    aTarget.held_ = true;
+    aTarget.registered_ = false;
+    MayAct();
+    return;
+  }
+  ++aTarget.failedHolds_;
+  if (aTarget.failedHolds_ == 2) {
+    LogBelief("target-silent",
+              { { "target", aTarget.info_.id_ },
+                { "end", std::string(NameOf(aEnd)) },
+                { "runs", std::to_string(aTarget.runs_.size()) } });
+    MayAct(); // tasks that may have copies get them
+  }
+  aTarget.nextHoldAt_ =
+    now +
+    std::min(kLongFailedPause, kFailedPause * (aTarget.failedHolds_ - 1));
+}
+
+void Scheduler::StartNewLife(TargetState& aTarget, const HoldAnswer& aAnswer)
+{
+  LogBelief("target-life",
+            { { "target", aTarget.info_.id_ },
+              { "born", Text(aAnswer.born_) },
+              { "before", Text(aTarget.born_) },
+              { "runs", std::to_string(aTarget.runs_.size()) } });
+  if (aTarget.born_ != 0) {
+    // Starts sent after the question may have reached the new life.
+    DropRuns(aTarget, "new life", aTarget.holdSentAt_);
+  }
+  aTarget.born_ = aAnswer.born_;
+  aTarget.processed_ = 0;
+  aTarget.acknowledged_ = 0;
+  aTarget.unsaved_.clear();
+  aTarget.leaseGranted_ = 0;
+  aTarget.failures_.clear();
+  aTarget.successes_.clear();
+  MayAct();
+}
+
+void Scheduler::DropRuns(TargetState& aTarget,
+                         std::string_view aReason,
+                         Millis aSentBy)
+{
+  std::vector<RunKey> gone;
+  for (const auto& [key, run] : aTarget.runs_) {
+    if (run.sentAt_ <= aSentBy) {
+      gone.push_back(key);
+    }
+  }
+  for (const RunKey& key : gone) {
+    LogDecision("run-lost",
+                { { "task", key.first.Text() },
+                  { "run", std::to_string(key.second) },
+                  { "target", aTarget.info_.id_ },
+                  { "reason", std::string(aReason) } });
+    RunIsGone(aTarget, key);
+  }
+}
+
+void Scheduler::RunIsGone(TargetState& aTarget, const RunKey& aRun)
+{
+  aTarget.RemoveRun(aRun);
+  MayAct();
+  Job* job = FindJob(aRun.first.job_);
+  TaskProgress* task = job == nullptr ? nullptr : job->Find(aRun.first);
+  if (task != nullptr) {
+    std::erase_if(task->live_, [&](const LiveRun& aLive) {
+      return aLive.run_ == aRun.second &&
+             aLive.target_ == aTarget.info_.id_;
+    });
+  }
+}
+
+void Scheduler::DropLapsed()
+{
+  Millis now = clock_.Now();
+  for (auto& [id, target] : targets_) {
+    if (target.runs_.empty() || !target.held_ || !target.HasLapsed(now)) {
+      continue;
+    }
+    DropRuns(target, "lease lapsed without an answer", now);
+  }
+}
+
+/// Until then a run that an earlier scheduler started may still be at work.
+void Scheduler::CheckReady()
+{
+  if (ready_) {
+    return;
+  }
+  Millis now = clock_.Now();
+  // 2% for the slowest clock of a target, and the hold that may have been
+  // under way when the earlier scheduler ended.
+  Millis limit = bornAt_ + settings_.lease_ + settings_.lease_ / 50 +
+                 Millis(100);
+  bool allHeld =
+    std::all_of(targets_.begin(), targets_.end(), [](const auto& aEntry) {
+      return aEntry.second.held_ || !aEntry.second.inRoster_;
+    });
+  if (!allHeld && now < limit) {
+    Due(limit);
+    return;
+  }
+  ready_ = true;
+  for (auto& [id, target] : targets_) {
+    if (!target.held_) {
+      LogBelief("target-unheld", { { "target", id } });
+    }
+  }
+  LogBelief("scheduler-ready",
+            { { "service", settings_.service_ },
+              { "fence", std::to_string(settings_.fence_) },
+              { "jobs", std::to_string(jobs_.size()) },
+              { "after_ms", Text((now - bornAt_).count()) } });
+  MayAct();
+}
+
+void Scheduler::TakeEnds(TargetState& aTarget, const HoldAnswer& aAnswer)
+{
+  for (const EndedRow& end : aAnswer.ended_) {
+    if (end.number_ <= aTarget.processed_) {
+      continue;
+    }
+    aTarget.processed_ = end.number_;
+    TakeEnd(aTarget, end);
+    Job* job = FindJob(end.task_.job_);
+    bool unsaved = job != nullptr && job->saved_ < job->changed_;
+    aTarget.unsaved_.push_back({ end.number_,
+                                 end.task_.job_,
+                                 unsaved ? job->changed_ : ChangeNumber(0) });
+  }
+}
+
+static std::string_view NameOf(RunEnd aEnd)
+{
+  static constexpr std::array<std::string_view, 6> kNames = {
+    "done", "failed", "stopped", "lapsed", "broken", "alone"
+  };
+  return kNames.at(static_cast<std::size_t>(aEnd));
+}
+
+void Scheduler::TakeEnd(TargetState& aTarget, const EndedRow& aEnd)
+{
+  RunKey key{ aEnd.task_, aEnd.run_ };
+  RunState* run = aTarget.FindRun(key);
+  Millis took = run == nullptr ? Millis(0) : clock_.Now() - run->sentAt_;
+  LogDecision("run-ended",
+              { { "task", aEnd.task_.Text() },
+                { "run", std::to_string(aEnd.run_) },
+                { "target", aTarget.info_.id_ },
+                { "how", std::string(NameOf(aEnd.how_)) },
+                { "took_ms", Text(took.count()) } });
+  Job* job = FindJob(aEnd.task_.job_);
+  TaskProgress* task = job == nullptr ? nullptr : job->Find(aEnd.task_);
+  RunIsGone(aTarget, key);
+  if (task == nullptr) {
+    return;
+  }
+  job->highestRun_ = std::max(job->highestRun_, aEnd.run_);
+  const StepSpec& spec = *job->SpecOf(aEnd.task_);
+  if (!aEnd.checkpoint_.empty()) {
+    task->checkpoint_ = aEnd.checkpoint_;
+  }
+  if (spec.lasting_) {
+    task->notBefore_ = clock_.Now() + kRestartDelay;
+    Due(task->notBefore_);
+    return;
+  }
+  bool fitting = took > Millis(0) && task->checkpoint_.empty();
+  if (aEnd.how_ == RunEnd::Done) {
+    CountOutcome(aTarget, job->Record().id_, true);
+    if (fitting) {
+      estimates_.Learn(spec.image_, spec.estimate_, took);
+    }
+    if (!job->IsEnded()) {
+      job->MarkDone(aEnd.task_);
+      Touch(*job);
+    }
+  } else if (aEnd.how_ == RunEnd::Failed) {
+    CountOutcome(aTarget, job->Record().id_, false);
+    task->failedOn_.insert(aTarget.info_.id_);
+    if (!job->IsEnded()) {
+      job->MarkFailed(aEnd.task_, aEnd.run_);
+      Touch(*job);
+    }
+  }
+  if (job->IsEnded()) {
+    LogDecision("job-ended",
+                { { "job", job->Record().id_ },
+                  { "state", std::string(NameOf(job->State())) },
+                  { "after_ms",
+                    Text((clock_.Now() - job->AcceptedAt()).count()) } });
+  }
+}
+
+/// A target is avoided when tasks of different jobs fail there; one job that
+/// fails everywhere says nothing of its targets.
+void Scheduler::CountOutcome(TargetState& aTarget,
+                             const std::string& aJob,
+                             bool aDone)
+{
+  Millis now = clock_.Now();
+  if (aDone) {
+    aTarget.successes_.push_back(now);
+  } else {
+    aTarget.failures_.emplace_back(now, aJob);
+  }
+  while (!aTarget.successes_.empty() &&
+         aTarget.successes_.front() < now - kEvidenceWindow) {
+    aTarget.successes_.pop_front();
+  }
+  while (!aTarget.failures_.empty() &&
+         aTarget.failures_.front().first < now - kEvidenceWindow) {
+    aTarget.failures_.pop_front();
+  }
+  std::set<std::string_view> jobs;
+  for (const auto& [at, job] : aTarget.failures_) {
+    jobs.insert(job);
+  }
+  if (aDone || jobs.size() < kEvidenceJobs ||
+      aTarget.failures_.size() <= aTarget.successes_.size()) {
+    return;
+  }
+  aTarget.avoidUntil_ = now + kGreyPause;
+  LogBelief("target-grey",
+            { { "target", aTarget.info_.id_ },
+              { "failed", std::to_string(aTarget.failures_.size()) },
+              { "done", std::to_string(aTarget.successes_.size()) },
+              { "jobs", std::to_string(jobs.size()) } });
+}
+
+void Scheduler::TakeRunning(TargetState& aTarget, const HoldAnswer& aAnswer)
+{
+  for (const RunningRow& row : aAnswer.running_) {
+    RunKey key{ row.task_, row.run_ };
+    RunState* run = aTarget.FindRun(key);
+    if (run == nullptr) {
+      Adopt(aTarget, row);
+      run = aTarget.FindRun(key);
+    }
+    run->percent_ = row.percent_;
+    run->recent_ = row.recent_;
+    if (run->phase_ == RunPhase::Starting || run->phase_ == RunPhase::Unknown) {
+      run->phase_ = RunPhase::Running;
+      run->answeredAt_ = clock_.Now();
+    }
+    Job* job = FindJob(row.task_.job_);
+    TaskProgress* task = job == nullptr ? nullptr : job->Find(row.task_);
+    if (task != nullptr && !row.checkpoint_.empty()) {
+      task->checkpoint_ = row.checkpoint_;
+    }
+  }
+}
+
+/// A run that was not expected: started by an earlier scheduler, or late. It
+/// goes on if its task needs a run, else DecideStops() ends it.
+void Scheduler::Adopt(TargetState& aTarget, const RunningRow& aRow)
+{
+  Job* job = FindJob(aRow.task_.job_);
+  TaskProgress* task = job == nullptr ? nullptr : job->Find(aRow.task_);
+  RunState run;
+  run.phase_ = RunPhase::Running;
+  run.sentAt_ = clock_.Now();
+  run.answeredAt_ = clock_.Now();
+  run.leaseUntil_ = aTarget.leaseGranted_;
+  if (task != nullptr) {
+    const StepSpec& spec = *job->SpecOf(aRow.task_);
+    run.takes_ = spec.each_;
+    run.fills_ = spec.fills_;
+    run.serves_ = spec.lasting_ && spec.latencyTarget_ > Millis(0);
+    run.latencyTarget_ = spec.latencyTarget_;
+    run.estimate_ = EstimateOf(spec);
+    task->live_.push_back({ aTarget.info_.id_, aRow.run_ });
+    job->highestRun_ = std::max(job->highestRun_, aRow.run_);
+    job->Begin();
+  }
+  LogDecision("run-adopted",
+              { { "task", aRow.task_.Text() },
+                { "run", std::to_string(aRow.run_) },
+                { "target", aTarget.info_.id_ },
+                { "known", task != nullptr ? "1" : "0" } });
+  aTarget.AddRun({ aRow.task_, aRow.run_ }, run);
+}
+
+/// Drops runs that the target neither runs nor lists as ended, although their
+/// start was answered before it was asked.
+void Scheduler::DropMissing(TargetState& aTarget, const HoldAnswer& aAnswer)
+{
+  if (aAnswer.ended_.size() >= kMostEnds) {
+    return;
+  }
+  std::set<RunKey> listed;
+  for (const RunningRow& row : aAnswer.running_) {
+    listed.insert({ row.task_, row.run_ });
+  }
+  std::vector<RunKey> missing;
+  for (const auto& [key, run] : aTarget.runs_) {
+    bool answered = run.phase_ == RunPhase::Running ||
+                    (run.phase_ == RunPhase::Stopping &&
+                     run.answeredAt_ > Millis(0));
+    if (answered && run.answeredAt_ < aTarget.holdSentAt_ &&
+        listed.count(key) == 0) {
+      missing.push_back(key);
+    }
+  }
+  for (const RunKey& key : missing) {
+    LogDecision("run-lost",
+                { { "task", key.first.Text() },
+                  { "run", std::to_string(key.second) },
+                  { "target", aTarget.info_.id_ },
+                  { "reason", "not listed by its target" } });
+    RunIsGone(aTarget, key);
+  }
+}
+
+void Scheduler::AcknowledgeSaved(TargetState& aTarget)
+{
+  bool had = !aTarget.unsaved_.empty();
+  while (!aTarget.unsaved_.empty()) {
+    const TargetState::UnsavedEnd& end = aTarget.unsaved_.front();
+    const Job* job = FindJob(end.job_);
+    if (end.change_ != 0 && job != nullptr && job->saved_ < end.change_) {
+      return;
+    }
+    aTarget.acknowledged_ = end.number_;
+    aTarget.unsaved_.pop_front();
+  }
+  if (had && !aTarget.holdInFlight_) {
+    // Ends are acknowledged soon, with the next renewal of the lease.
+    aTarget.nextHoldAt_ = std::min(aTarget.nextHoldAt_, clock_.Now());
+    Due(aTarget.nextHoldAt_);
+  }
+}
+
+} // namespace coltsfootshed
--- /dev/null
+++ b/lib/Scheduling/SchedulerOrders.cpp
@@ -0,0 +1,296 @@
+// Stopping and pacing of runs, and the answers to orders.
+#include "coltsfootshed/Observe/DecisionLog.h"
+#include "coltsfootshed/Scheduling/Scheduler.h"
+
+#include <algorithm>
+#include <array>
+
+namespace coltsfootshed {
+
+/// Pause before an order without an answer is sent again.
+static constexpr Millis kOrderRetry{ 300 };
+/// A start without an answer is looked for this long before it is stopped.
+static constexpr Millis kLookFirst{ 300 };
+/// Runs of jobs that are not known yet are spared this long: news of a job may
+/// come later than its runs.
+static constexpr Millis kUnknownJobGrace{ 3000 };
+/// Pause of starts on a target that refused one.
+static constexpr Millis kFullPause{ 200 };
+static constexpr Millis kUnhealthyPause{ 1000 };
+/// Delay of a start that no target can read.
+static constexpr Millis kMalformedPause{ 5000 };
+/// Filling tasks give way above this share of a serving task's target.
+static constexpr double kGiveWayAbove = 0.85;
+/// They come back while all tails are below this share.
+static constexpr double kComeBackBelow = 0.6;
+/// Two orders to one task are at least this far apart, so that the tail shows
+/// the first one's effect: the target averages over half a second.
+static constexpr Millis kPacePause{ 700 };
+static constexpr int kPaceStepUp = 10;  ///< percent
+static constexpr int kLeastPace = 15;   ///< percent; below it, 0
+
+std::string_view NameOf(OrderEnd aEnd)
+{
+  static constexpr std::array<std::string_view, 11> kNames = {
+    "done",      "fence-too-low",  "run-too-low", "too-late",
+    "no-room",   "ticket-invalid", "unhealthy",   "malformed",
+    "wrong-target", "not-sent",    "no-answer"
+  };
+  return kNames.at(static_cast<std::size_t>(aEnd));
+}
+
+bool Scheduler::IsWanted(const TargetState& aTarget,
+                         const RunKey& aRun,
+                         const RunState& aState)
+{
+  Millis now = clock_.Now();
+  if (aState.phase_ == RunPhase::Unknown &&
+      now - aState.answeredAt_ >= kLookFirst) {
+    return false;
+  }
+  Job* job = FindJob(aRun.first.job_);
+  if (job == nullptr) {
+    return now - aState.sentAt_ < kUnknownJobGrace;
+  }
+  TaskProgress* task = job->Find(aRun.first);
+  if (job->IsEnded() || task == nullptr || task->done_) {
+    return false;
+  }
+  const StepSpec& spec = *job->SpecOf(aRun.first);
+  if (spec.gang_) {
+    const auto& tasks = job->Occurrences()
+                          .at(aRun.first.occurrence_)
+                          .steps_.at(static_cast<std::size_t>(aRun.first.step_))
+                          .tasks_;
+    return std::all_of(tasks.begin(), tasks.end(), [&](const TaskProgress& t) {
+      return std::any_of(t.live_.begin(), t.live_.end(), [&](const LiveRun& r) {
+        return r.run_ == aRun.second;
+      });
+    });
+  }
+  if (spec.copies_ || task->live_.empty()) {
+    return true;
+  }
+  const LiveRun& kept = task->live_.front();
+  return kept.target_ == aTarget.info_.id_ && kept.run_ == aRun.second;
+}
+
+void Scheduler::DecideStops(std::vector<SchedulerOrder>& aOrders)
+{
+  Millis now = clock_.Now();
+  for (auto& [id, target] : targets_) {
+    for (auto& [key, run] : target.runs_) {
+      bool unsent = run.phase_ == RunPhase::Starting || run.orderInFlight_;
+      if (unsent) {
+        continue;
+      }
+      if (run.phase_ != RunPhase::Stopping) {
+        if (IsWanted(target, key, run)) {
+          if (run.phase_ == RunPhase::Unknown) {
+            Due(run.answeredAt_ + kLookFirst);
+          }
+          continue;
+        }
+        // A run whose start was never answered may not be there at all.
+        run.answeredAt_ =
+          run.phase_ == RunPhase::Unknown ? Millis(0) : run.answeredAt_;
+        run.phase_ = RunPhase::Stopping;
+        run.nextOrderAt_ = now;
+        LogDecision("run-stop",
+                    { { "task", key.first.Text() },
+                      { "run", std::to_string(key.second) },
+                      { "target", id } });
+      } else if (run.nextOrderAt_ == Millis::max()) {
+        continue; // answered
+      }
+      if (now < run.nextOrderAt_) {
+        Due(run.nextOrderAt_);
+        continue;
+      }
+      run.orderInFlight_ = true;
+      aOrders.emplace_back(
+        TargetStop{ id, { key.first, key.second, settings_.fence_ } });
+    }
+  }
+}
+
+void Scheduler::OnStart(const std::string& aTarget,
+                        const RunKey& aRun,
+                        const OrderAnswer& aAnswer)
+{
+  TargetState& target = targets_.at(aTarget);
+  RunState* run = target.FindRun(aRun);
+  Millis now = clock_.Now();
+  if (aAnswer.end_ != OrderEnd::Done) {
+    LogDecision("run-not-started",
+                { { "task", aRun.first.Text() },
+                  { "run", std::to_string(aRun.second) },
+                  { "target", aTarget },
+                  { "end", std::string(NameOf(aAnswer.end_)) } });
+  }
+  Count("starts_" + std::string(NameOf(aAnswer.end_)));
+  if (run == nullptr || run->phase_ != RunPhase::Starting) {
+    return; // already listed, or its life is over
+  }
+  MayAct();
+  if (aAnswer.end_ == OrderEnd::Done) {
+    run->phase_ = RunPhase::Running;
+    run->answeredAt_ = now;
+    if (Job* job = FindJob(aRun.first.job_)) {
+      job->Begin();
+    }
+    // A look that waits renews the lease and tells of the end.
+    target.nextHoldAt_ = std::min(target.nextHoldAt_, now);
+    Due(now);
+    return;
+  }
+  if (aAnswer.end_ == OrderEnd::NoAnswer) {
+    run->phase_ = RunPhase::Unknown;
+    run->answeredAt_ = now;
+    target.avoidUntil_ = std::max(target.avoidUntil_, now + kUnhealthyPause);
+    target.nextHoldAt_ = now;
+    Due(now);
+    return;
+  }
+  Job* job = FindJob(aRun.first.job_);
+  TaskProgress* task = job == nullptr ? nullptr : job->Find(aRun.first);
+  RunIsGone(target, aRun);
+  switch (aAnswer.end_) {
+    case OrderEnd::FenceTooLow:
+      OnHoldFailed(target, OrderEnd::FenceTooLow);
+      break;
+    case OrderEnd::WrongTarget:
+      OnHoldFailed(target, OrderEnd::WrongTarget);
+      break;
+    case OrderEnd::NoRoom:
+      target.avoidUntil_ = now + kFullPause;
+      target.nextHoldAt_ = now;
+      break;
+    case OrderEnd::TicketInvalid: {
+      TaskName step = aRun.first;
+      step.index_ = 0;
+      advice_[step].tickets_.erase(aTarget);
+      advice_[step].asked_.erase(aTarget);
+      break;
+    }
+    case OrderEnd::Malformed:
+      if (task != nullptr) {
+        task->notBefore_ = now + kMalformedPause;
+      }
+      break;
+    case OrderEnd::Unhealthy:
+    case OrderEnd::NotSent:
+      target.avoidUntil_ = now + kUnhealthyPause;
+      target.nextHoldAt_ = now;
+      break;
+    default:
+      target.nextHoldAt_ = now; // reads the clock anew
+      break;
+  }
+  Due(std::max(target.avoidUntil_, now));
+}
+
+void Scheduler::OnStop(const std::string& aTarget,
+                       const RunKey& aRun,
+                       const OrderAnswer& aAnswer)
+{
+  TargetState& target = targets_.at(aTarget);
+  Millis now = clock_.Now();
+  if (aAnswer.end_ == OrderEnd::FenceTooLow ||
+      aAnswer.end_ == OrderEnd::WrongTarget) {
+    OnHoldFailed(target, aAnswer.end_);
+    return;
+  }
+  RunState* run = target.FindRun(aRun);
+  if (run == nullptr) {
+    return;
+  }
+  run->orderInFlight_ = false;
+  if (aAnswer.end_ != OrderEnd::Done) {
+    run->nextOrderAt_ = now + kOrderRetry;
+    Due(run->nextOrderAt_);
+    return;
+  }
+  // From now on the run is listed until it has ended, or is not there and
+  // can no longer start.
+  run->nextOrderAt_ = Millis::max();
+  run->answeredAt_ = now;
+  if (!target.holdInFlight_) {
+    target.nextHoldAt_ = std::min(target.nextHoldAt_, now);
+    Due(now);
+  }
+}
+
+void Scheduler::OnPace(const std::string& aTarget,
+                       const RunKey& aRun,
+                       const OrderAnswer& aAnswer)
+{
+  TargetState& target = targets_.at(aTarget);
+  if (aAnswer.end_ == OrderEnd::FenceTooLow ||
+      aAnswer.end_ == OrderEnd::WrongTarget) {
+    OnHoldFailed(target, aAnswer.end_);
+    return;
+  }
+  if (RunState* run = target.FindRun(aRun)) {
+    run->orderInFlight_ = false;
+    if (aAnswer.end_ != OrderEnd::Done) {
+      run->pace_ = 100; // unknown; decided anew from the next tail
+      run->pacedAt_ = Millis(0);
+    }
+  }
+}
+
+/// The worst tail on a target against its task's latency target; 0 if none.
+static double WorstTail(const TargetState& aTarget)
+{
+  double worst = 0;
+  for (const auto& [key, run] : aTarget.runs_) {
+    if (run.serves_ && run.phase_ == RunPhase::Running) {
+      double target = static_cast<double>(run.latencyTarget_.count());
+      worst = std::max(worst, static_cast<double>(run.recent_) / target);
+    }
+  }
+  return worst;
+}
+
+static int NextPace(int aPace, double aWorstTail)
+{
+  if (aWorstTail > kGiveWayAbove) {
+    int halved = aPace / 2;
+    return halved < kLeastPace ? 0 : halved;
+  }
+  if (aWorstTail < kComeBackBelow) {
+    return std::min(100, aPace + kPaceStepUp);
+  }
+  return aPace;
+}
+
+void Scheduler::DecidePace(std::vector<SchedulerOrder>& aOrders)
+{
+  Millis now = clock_.Now();
+  for (auto& [id, target] : targets_) {
+    double worst = WorstTail(target);
+    for (auto& [key, run] : target.runs_) {
+      bool mayPace = run.fills_ && run.phase_ == RunPhase::Running &&
+                     !run.orderInFlight_ && now - run.pacedAt_ >= kPacePause;
+      int pace = mayPace ? NextPace(run.pace_, worst) : run.pace_;
+      if (pace == run.pace_) {
+        continue;
+      }
+      LogDecision("run-pace",
+                  { { "task", key.first.Text() },
+                    { "target", id },
+                    { "percent", std::to_string(pace) },
+                    { "worst_tail", std::to_string(worst) },
+                    { "age_ms",
+                      std::to_string((now - target.lastAnswerAt_).count()) } });
+      run.pace_ = pace;
+      run.pacedAt_ = now;
+      run.orderInFlight_ = true;
+      aOrders.emplace_back(
+        TargetPace{ id, { key.first, key.second, pace, settings_.fence_ } });
+    }
+  }
+}
+
+} // namespace coltsfootshed
--- /dev/null
+++ b/lib/Scheduling/SchedulerPlacement.cpp
@@ -0,0 +1,471 @@
+// Which task starts next, and where.
+#include "coltsfootshed/Observe/DecisionLog.h"
+#include "coltsfootshed/Scheduling/Scheduler.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace coltsfootshed {
+
+/// A job that ends later than this many times its objective earns nothing.
+static constexpr int kLateFactor = 3;
+/// A run is overdue, and may get a copy, after this many times its estimate.
+static constexpr double kOverdueFactor = 2.5;
+static constexpr Millis kLeastOverdue{ 1500 };
+/// Targets named in one question for advice; the objective counts one call
+/// on this many.
+static constexpr std::size_t kMostAdvised = 30;
+/// Pause before advice is asked again after a refusal or an expiry.
+static constexpr Millis kAdvicePause{ 250 };
+/// A ticket is not used in its last moments, as the start takes time too.
+static constexpr Millis kTicketMargin{ 200 };
+
+Millis Scheduler::EstimateOf(const StepSpec& aStep) const
+{
+  return estimates_.Estimate(aStep.image_, aStep.estimate_);
+}
+
+namespace {
+
+/// Lengths of the longest chains of steps that are not done.
+class Chains
+{
+public:
+  template<typename Estimate, typename IsDone>
+  Millis Longest(const std::vector<StepSpec>& aSteps,
+                 const Estimate& aEstimate,
+                 const IsDone& aIsDone)
+  {
+    std::vector<Millis> ends(aSteps.size(), Millis(0));
+    Millis longest{ 0 };
+    for (std::size_t i = 0; i < aSteps.size(); ++i) {
+      Millis begin{ 0 };
+      for (int earlier : aSteps[i].after_) {
+        // Steps name only earlier ones, which the intake checks.
+        begin = std::max(begin, ends.at(static_cast<std::size_t>(earlier)));
+      }
+      ends[i] = begin + (aIsDone(i) ? Millis(0) : aEstimate(aSteps[i]));
+      longest = std::max(longest, ends[i]);
+    }
+    return longest;
+  }
+};
+
+} // namespace
+
+Millis Scheduler::RemainingChain(const Job& aJob,
+                                 const Occurrence& aOccurrence) const
+{
+  return Chains().Longest(
+    aJob.Record().spec_.steps_,
+    [this](const StepSpec& s) { return EstimateOf(s); },
+    [&](std::size_t aStep) { return aOccurrence.steps_[aStep].IsDone(); });
+}
+
+/// Lasting work goes first, then what can still meet its objective by least
+/// slack, then what is late by least work left, then what earns nothing.
+std::tuple<int, int, double> Scheduler::OrderOf(
+  const Job& aJob,
+  const Occurrence& aOccurrence) const
+{
+  const JobRecord& record = aJob.Record();
+  if (aJob.IsLasting()) {
+    return { 0, record.priority_, 0.0 };
+  }
+  Millis begin = aJob.AcceptedAt();
+  Millis now = clock_.Now();
+  if (aJob.IsTimed()) {
+    Millis due = record.spec_.firstDue_ +
+                 aOccurrence.number_ * record.spec_.interval_;
+    begin = now - (timeOfDay_.Now() - due);
+  }
+  Millis whole = Chains().Longest(
+    record.spec_.steps_,
+    [this](const StepSpec& s) { return EstimateOf(s); },
+    [](std::size_t) { return false; });
+  Millis objective =
+    Millis(static_cast<std::int64_t>(record.stretch_ *
+                                     static_cast<double>(whole.count()))) +
+    record.aim_;
+  Millis left = RemainingChain(aJob, aOccurrence);
+  Millis end = now + left;
+  if (end <= begin + objective) {
+    Millis slack = begin + objective - end;
+    return { 1, record.priority_, static_cast<double>(slack.count()) };
+  }
+  bool earns = end <= begin + kLateFactor * objective;
+  return { earns ? 2 : 3,
+           record.priority_,
+           static_cast<double>(left.count()) };
+}
+
+bool Scheduler::WantsStart(const TaskProgress& aTask,
+                           const StepSpec& aSpec) const
+{
+  Millis now = clock_.Now();
+  if (aTask.done_ || aTask.notBefore_ > now) {
+    return false;
+  }
+  if (aTask.live_.empty()) {
+    return true;
+  }
+  if (!aSpec.copies_ || aTask.live_.size() > 1) {
+    return false;
+  }
+  const LiveRun& live = aTask.live_.front();
+  auto target = targets_.find(live.target_);
+  if (target == targets_.end() || target->second.failedHolds_ > 1) {
+    return true;
+  }
+  for (const auto& [key, run] : target->second.runs_) {
+    if (key.second == live.run_) {
+      Millis overdue = std::max(
+        kLeastOverdue,
+        Millis(static_cast<std::int64_t>(
+          kOverdueFactor * static_cast<double>(run.estimate_.count()))));
+      return now - run.sentAt_ > overdue;
+    }
+  }
+  return false;
+}
+
+std::vector<Scheduler::ReadyStep> Scheduler::ReadySteps()
+{
+  std::vector<ReadyStep> ready;
+  Millis timeOfDay = timeOfDay_.Now();
+  for (auto& [id, job] : jobs_) {
+    if (job->IsEnded()) {
+      continue;
+    }
+    if (job->CreateDue(timeOfDay)) {
+      Touch(*job);
+    }
+    for (auto& [number, occurrence] : job->Occurrences()) {
+      for (std::size_t i = 0; i < occurrence.steps_.size(); ++i) {
+        const StepSpec& spec = job->Record().spec_.steps_[i];
+        const StepProgress& step = occurrence.steps_[i];
+        bool open = !step.IsDone() && occurrence.IsReady(spec);
+        bool wants =
+          open && std::any_of(step.tasks_.begin(),
+                              step.tasks_.end(),
+                              [&](const TaskProgress& aTask) {
+                                return WantsStart(aTask, spec);
+                              });
+        if (wants) {
+          ready.push_back({ job.get(),
+                            &occurrence,
+                            static_cast<int>(i),
+                            OrderOf(*job, occurrence) });
+        }
+      }
+    }
+  }
+  std::stable_sort(
+    ready.begin(), ready.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.order_ < aRight.order_;
+    });
+  return ready;
+}
+
+void Scheduler::DecideStarts(std::vector<SchedulerOrder>& aOrders)
+{
+  Due(clock_.Now() + Millis(200)); // due times, overdue runs, expired pauses
+  dirty_ = false;
+  for (const ReadyStep& step : ReadySteps()) {
+    if (step.job_->Record().spec_.steps_[static_cast<std::size_t>(step.step_)]
+          .gang_) {
+      PlaceGang(step, aOrders);
+    } else {
+      PlaceStep(step, aOrders);
+    }
+  }
+  // Jobs that wait are looked at again with the next tick.
+  dirty_ = true;
+}
+
+bool Scheduler::MayUse(const TargetState& aTarget) const
+{
+  return aTarget.registered_ && !aTarget.info_.draining_ && aTarget.held_ &&
+         aTarget.inRoster_ && aTarget.failedHolds_ == 0 &&
+         !aTarget.vacating_ && aTarget.avoidUntil_ <= clock_.Now() &&
+         (aTarget.info_.born_ == 0 || aTarget.info_.born_ <= aTarget.born_);
+}
+
+int Scheduler::RunsOfStep(const TargetState& aTarget,
+                          const TaskName& aStep) const
+{
+  int runs = 0;
+  for (auto at = aTarget.runs_.lower_bound({ aStep, 0 });
+       at != aTarget.runs_.end() && at->first.first.job_ == aStep.job_ &&
+       at->first.first.occurrence_ == aStep.occurrence_ &&
+       at->first.first.step_ == aStep.step_;
+       ++at) {
+    ++runs;
+  }
+  return runs;
+}
+
+const Scheduler::Ticket* Scheduler::ValidTicket(
+  const TaskName& aStep,
+  const std::string& aTarget) const
+{
+  auto advice = advice_.find(aStep);
+  if (advice == advice_.end()) {
+    return nullptr;
+  }
+  auto ticket = advice->second.tickets_.find(aTarget);
+  bool valid = ticket != advice->second.tickets_.end() &&
+               ticket->second.validUntil_ > clock_.Now() + kTicketMargin;
+  return valid ? &ticket->second : nullptr;
+}
+
+static bool HasKind(const TargetState& aTarget, bool RunState::*aKind)
+{
+  return std::any_of(
+    aTarget.runs_.begin(), aTarget.runs_.end(), [&](const auto& aEntry) {
+      return aEntry.second.*aKind;
+    });
+}
+
+TargetState* Scheduler::ChooseTarget(const ReadyStep& aStep,
+                                     const TaskProgress& aTask,
+                                     std::span<const std::string> aTaken)
+{
+  const JobRecord& record = aStep.job_->Record();
+  const StepSpec& spec =
+    record.spec_.steps_[static_cast<std::size_t>(aStep.step_)];
+  TaskName name{ record.id_, aStep.occurrence_->number_, aStep.step_, 0 };
+  bool serves = spec.lasting_ && spec.latencyTarget_ > Millis(0);
+  Resources needs = spec.each_;
+  if (spec.fills_) {
+    needs.cpu_ = 0;
+  }
+  TargetState* best = nullptr;
+  double bestCost = std::numeric_limits<double>::max();
+  for (auto& [id, target] : targets_) {
+    Resources free = target.Free();
+    bool fits = MayUse(target) && needs.FitsInto(free) &&
+                (spec.label_.empty() || target.HasLabel(spec.label_));
+    if (!fits || (record.advised_ && ValidTicket(name, id) == nullptr)) {
+      continue;
+    }
+    if (spec.maxPerTarget_ > 0 &&
+        RunsOfStep(target, name) >= spec.maxPerTarget_) {
+      continue;
+    }
+    bool hasCopy = std::any_of(
+      aTask.live_.begin(), aTask.live_.end(), [&, key = id](const LiveRun& r) {
+        return r.target_ == key;
+      });
+    if (hasCopy) {
+      continue;
+    }
+    // Costs in order of weight: a target on which the task failed, a rack far
+    // from its data or its siblings, interference, then the fullest fit.
+    double cost = 0;
+    cost += aTask.failedOn_.count(id) > 0 ? 1e6 : 0;
+    cost += !spec.dataRack_.empty() && target.Rack() != spec.dataRack_ ? 1e4
+                                                                       : 0;
+    bool otherRack =
+      spec.sameRack_ && !aTaken.empty() &&
+      targets_.find(aTaken.front())->second.Rack() != target.Rack();
+    cost += otherRack ? 1e4 : 0;
+    if (spec.fills_) {
+      cost += HasKind(target, &RunState::serves_) ? 1e3 : 0;
+      cost -= static_cast<double>(free.cpu_) /
+              static_cast<double>(target.info_.capacity_.cpu_ + 1);
+    } else if (serves) {
+      cost += HasKind(target, &RunState::fills_) ? 1e3 : 0;
+      cost += HasKind(target, &RunState::serves_) ? 1e2 : 0;
+      cost -= static_cast<double>(free.cpu_) /
+              static_cast<double>(target.info_.capacity_.cpu_ + 1);
+    } else {
+      cost += static_cast<double>(free.cpu_) /
+              static_cast<double>(target.info_.capacity_.cpu_ + 1);
+    }
+    if (cost < bestCost) {
+      best = &target;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+void Scheduler::AskForAdvice(const ReadyStep& aStep,
+                             std::vector<SchedulerOrder>& aOrders)
+{
+  const JobRecord& record = aStep.job_->Record();
+  const StepSpec& spec =
+    record.spec_.steps_[static_cast<std::size_t>(aStep.step_)];
+  TaskName name{ record.id_, aStep.occurrence_->number_, aStep.step_, 0 };
+  StepAdvice& advice = advice_[name];
+  Millis now = clock_.Now();
+  if (advice.inFlight_ || now < advice.askAgainAt_) {
+    return;
+  }
+  std::erase_if(advice.tickets_, [&](const auto& aEntry) {
+    bool expired = aEntry.second.validUntil_ <= now + kTicketMargin;
+    if (expired) {
+      advice.asked_.erase(aEntry.first);
+    }
+    return expired;
+  });
+  AskAdvice ask{ name, {} };
+  for (const auto& [id, target] : targets_) {
+    bool useful = MayUse(target) && advice.asked_.count(id) == 0 &&
+                  (spec.label_.empty() || target.HasLabel(spec.label_));
+    if (useful && ask.targets_.size() < kMostAdvised) {
+      ask.targets_.push_back(id);
+    }
+  }
+  if (ask.targets_.empty()) {
+    return;
+  }
+  advice.inFlight_ = true;
+  aOrders.emplace_back(std::move(ask));
+}
+
+void Scheduler::OnAdvice(const TaskName& aStep,
+                         std::span<const std::string> aAsked,
+                         const Advice& aAdvice)
+{
+  StepAdvice& advice = advice_[aStep];
+  advice.inFlight_ = false;
+  Millis now = clock_.Now();
+  LogDecision("advice",
+              { { "step", aStep.StepText() },
+                { "asked", std::to_string(aAsked.size()) },
+                { "answered", aAdvice.answered_ ? "1" : "0" },
+                { "granted", std::to_string(aAdvice.granted_.size()) } });
+  MayAct();
+  advice.askAgainAt_ = now + kAdvicePause;
+  if (!aAdvice.answered_) {
+    return;
+  }
+  advice.asked_.insert(aAsked.begin(), aAsked.end());
+  for (const auto& [target, ticket] : aAdvice.granted_) {
+    advice.tickets_[target] = { ticket, now + aAdvice.validFor_ };
+  }
+}
+
+void Scheduler::PlaceStep(const ReadyStep& aStep,
+                          std::vector<SchedulerOrder>& aOrders)
+{
+  const JobRecord& record = aStep.job_->Record();
+  const StepSpec& spec =
+    record.spec_.steps_[static_cast<std::size_t>(aStep.step_)];
+  StepProgress& step =
+    aStep.occurrence_->steps_[static_cast<std::size_t>(aStep.step_)];
+  std::vector<std::string> taken;
+  for (const TaskProgress& task : step.tasks_) {
+    for (const LiveRun& live : task.live_) {
+      taken.push_back(live.target_);
+    }
+  }
+  for (std::size_t i = 0; i < step.tasks_.size(); ++i) {
+    if (!WantsStart(step.tasks_[i], spec)) {
+      continue;
+    }
+    TargetState* target = ChooseTarget(aStep, step.tasks_[i], taken);
+    if (target == nullptr) {
+      if (record.advised_) {
+        AskForAdvice(aStep, aOrders);
+      }
+      return;
+    }
+    taken.push_back(target->info_.id_);
+    StartTask(aStep, static_cast<int>(i), ++nextRun_, *target, aOrders);
+  }
+}
+
+void Scheduler::PlaceGang(const ReadyStep& aStep,
+                          std::vector<SchedulerOrder>& aOrders)
+{
+  StepProgress& step =
+    aStep.occurrence_->steps_[static_cast<std::size_t>(aStep.step_)];
+  bool idle = std::all_of(
+    step.tasks_.begin(), step.tasks_.end(), [&](const TaskProgress& t) {
+      return t.live_.empty() && t.notBefore_ <= clock_.Now();
+    });
+  if (!idle) {
+    return;
+  }
+  // Members are placed one by one and taken back if one finds no room.
+  std::vector<SchedulerOrder> starts;
+  std::vector<std::string> taken;
+  RunNumber run = ++nextRun_;
+  for (std::size_t i = 0; i < step.tasks_.size(); ++i) {
+    TargetState* target = ChooseTarget(aStep, step.tasks_[i], taken);
+    if (target == nullptr) {
+      for (SchedulerOrder& order : starts) {
+        auto& start = std::get<TargetStart>(order);
+        RunIsGone(targets_.find(start.target_)->second,
+                  { start.order_.task_, run });
+      }
+      if (aStep.job_->Record().advised_) {
+        AskForAdvice(aStep, aOrders);
+      }
+      return;
+    }
+    taken.push_back(target->info_.id_);
+    StartTask(aStep, static_cast<int>(i), run, *target, starts);
+  }
+  std::move(starts.begin(), starts.end(), std::back_inserter(aOrders));
+}
+
+void Scheduler::StartTask(const ReadyStep& aStep,
+                          int aIndex,
+                          RunNumber aRun,
+                          TargetState& aTarget,
+                          std::vector<SchedulerOrder>& aOrders)
+{
+  const JobRecord& record = aStep.job_->Record();
+  const StepSpec& spec =
+    record.spec_.steps_[static_cast<std::size_t>(aStep.step_)];
+  TaskProgress& task =
+    aStep.occurrence_->steps_[static_cast<std::size_t>(aStep.step_)]
+      .tasks_[static_cast<std::size_t>(aIndex)];
+  TaskName name{
+    record.id_, aStep.occurrence_->number_, aStep.step_, aIndex
+  };
+  TaskName stepName = name;
+  stepName.index_ = 0;
+  Millis now = clock_.Now();
+  RunState run;
+  run.takes_ = spec.each_;
+  run.fills_ = spec.fills_;
+  run.serves_ = spec.lasting_ && spec.latencyTarget_ > Millis(0);
+  run.latencyTarget_ = spec.latencyTarget_;
+  bool far = !spec.dataRack_.empty() && aTarget.Rack() != spec.dataRack_;
+  run.estimate_ = Millis(static_cast<std::int64_t>(
+    static_cast<double>(EstimateOf(spec).count()) *
+    (far ? settings_.farFactor_ : 1.0)));
+  run.sentAt_ = now;
+  run.leaseUntil_ = aTarget.LeaseEnd(now, settings_.lease_);
+  aTarget.leaseGranted_ = std::max(aTarget.leaseGranted_, run.leaseUntil_);
+  StartOrder order{ name, aRun,
+                    record.spec_.payload_, run.leaseUntil_,
+                    settings_.fence_, spec.gang_ ? aStep.occurrence_
+                      ->steps_[static_cast<std::size_t>(aStep.step_)]
+                      .tasks_[0].checkpoint_ : task.checkpoint_,
+                    "" };
+  if (const Ticket* ticket = ValidTicket(stepName, aTarget.info_.id_)) {
+    order.ticket_ = ticket->text_;
+  }
+  LogDecision("run-start",
+              { { "task", name.Text() },
+                { "run", std::to_string(aRun) },
+                { "target", aTarget.info_.id_ },
+                { "free_cpu", std::to_string(aTarget.Free().cpu_) },
+                { "heard_ms_ago",
+                  std::to_string((now - aTarget.lastAnswerAt_).count()) },
+                { "class", std::to_string(std::get<0>(aStep.order_)) },
+                { "waited_ms",
+                  std::to_string(
+                    (now - aStep.job_->AcceptedAt()).count()) } });
+  aTarget.AddRun({ name, aRun }, run);
+  task.live_.push_back({ aTarget.info_.id_, aRun });
+  aOrders.emplace_back(TargetStart{ aTarget.info_.id_, std::move(order) });
+}
+
+} // namespace coltsfootshed
--- /dev/null
+++ b/lib/Scheduling/TargetState.cpp
@@ -0,0 +1,81 @@
+#include "coltsfootshed/Scheduling/TargetState.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace coltsfootshed {
+
+/// A target's clock may be this slow, from the protocol.
+static constexpr double kSlowestClock = 0.98;
+/// Rounding of both clocks.
+static constexpr TargetClock kClockSlack = 20;
+
+static Resources RoomTaken(const RunState& aRun)
+{
+  Resources takes = aRun.takes_;
+  if (aRun.fills_) {
+    takes.cpu_ = 0;
+  }
+  return takes;
+}
+
+Resources TargetState::Free() const
+{
+  Resources free = info_.capacity_;
+  free -= used_;
+  return free;
+}
+
+void TargetState::AddRun(const RunKey& aKey, RunState aRun)
+{
+  used_ += RoomTaken(aRun);
+  bool added = runs_.emplace(aKey, std::move(aRun)).second;
+  assert(added && "run numbers are never used twice");
+  (void)added;
+}
+
+void TargetState::RemoveRun(const RunKey& aKey)
+{
+  auto found = runs_.find(aKey);
+  if (found != runs_.end()) {
+    used_ -= RoomTaken(found->second);
+    runs_.erase(found);
+  }
+}
+
+RunState* TargetState::FindRun(const RunKey& aKey)
+{
+  auto found = runs_.find(aKey);
+  return found == runs_.end() ? nullptr : &found->second;
+}
+
+TargetClock TargetState::EarliestClock(Millis aNow) const
+{
+  double elapsed = static_cast<double>((aNow - clockReadAt_).count());
+  return clockRead_ + static_cast<TargetClock>(elapsed * kSlowestClock) -
+         kClockSlack;
+}
+
+TargetClock TargetState::LeaseEnd(Millis aNow, Millis aLease) const
+{
+  return clockRead_ + (aNow - clockReadAt_).count() + aLease.count();
+}
+
+bool TargetState::HasLapsed(Millis aNow) const
+{
+  return EarliestClock(aNow) > leaseGranted_;
+}
+
+const std::string& TargetState::Rack() const
+{
+  static const std::string kNone;
+  return info_.labels_.size() > 1 ? info_.labels_.back() : kNone;
+}
+
+bool TargetState::HasLabel(std::string_view aLabel) const
+{
+  return std::find(info_.labels_.begin(), info_.labels_.end(), aLabel) !=
+         info_.labels_.end();
+}
+
+} // namespace coltsfootshed
--- a/tools/coltsfootshedd/main.cpp
+++ b/tools/coltsfootshedd/main.cpp
@@ -1,6 +1,8 @@
 /// \file
 /// The daemon: reads its settings and runs the three tasks.
 
+#include "Documents.h"
+#include "PlatformNode.h"
 #include "coltsfootshed/Fleet/FleetTask.h"
 #include "coltsfootshed/Peers/PeersTask.h"
 #include "coltsfootshed/Requests/RequestsTask.h"
@@ -28,6 +30,7 @@
 struct Options
 {
   std::string settingsPath_;
+  bool onPlatform_ = false; ///< settings come from the platform's file
   bool checkOnly_ = false;
   bool showVersion_ = false;
 };
@@ -37,10 +40,19 @@
 static std::optional<Options> ReadOptions(int aCount, const char** aArguments)
 {
   char* settings = nullptr;
+  int onPlatform = 0;
   int check = 0;
   int version = 0;
   poptOption table[] = {
     { "settings", 's', POPT_ARG_STRING, &settings, 0, "settings file", "FILE" },
+    { "platform",
+      'p',
+      POPT_ARG_NONE,
+      &onPlatform,
+      0,
+      "schedule jobs on the platform; its settings file is named by "
+      "COLTSFOOTSHED_NODE_FILE or --settings",
+      nullptr },
     { "check",
       0,
       POPT_ARG_NONE,
@@ -62,19 +74,23 @@
   }
   Options options;
   options.settingsPath_ = TakeOptionText(settings);
+  options.onPlatform_ = onPlatform != 0;
   options.checkOnly_ = check != 0;
   options.showVersion_ = version != 0;
   return options;
 }
 
-static std::optional<Settings> LoadSettings(const std::string& aPath)
+/// Reads a settings file with aRead; faults go to standard error.
+template<typename Read>
+static auto LoadSettings(const std::string& aPath, const Read& aRead)
+  -> std::optional<typename decltype(aRead(std::string_view()))::value_type>
 {
   auto text = ReadFile(aPath);
   if (!text) {
     std::fprintf(stderr, "%s: cannot be read\n", aPath.c_str());
     return std::nullopt;
   }
-  auto settings = ReadSettings(*text);
+  auto settings = aRead(*text);
   if (settings) {
     return *settings;
   }
@@ -192,6 +208,24 @@
   return kExitOk;
 }
 
+static int RunOnPlatform(const Options& aOptions)
+{
+  std::string path = aOptions.settingsPath_;
+  if (path.empty()) {
+    const char* named = std::getenv(platform::kSettingsVariable);
+    path = named == nullptr ? "" : named;
+  }
+  auto settings = LoadSettings(path, platform::ReadNodeSettings);
+  if (!settings) {
+    return kExitBadInput;
+  }
+  if (aOptions.checkOnly_) {
+    std::printf("%s: ok\n", path.c_str());
+    return kExitOk;
+  }
+  return platform::RunPlatformNode(*settings);
+}
+
 int main(int aCount, char** aArguments)
 {
   auto options = ReadOptions(aCount, const_cast<const char**>(aArguments));
@@ -202,11 +236,14 @@
     std::printf("coltsfootshedd %s\n", COLTSFOOTSHED_VERSION);
     return kExitOk;
   }
+  if (options->onPlatform_) {
+    return RunOnPlatform(*options);
+  }
   if (options->settingsPath_.empty()) {
     std::fprintf(stderr, "--settings FILE is needed\n");
     return kExitBadInput;
   }
-  auto settings = LoadSettings(options->settingsPath_);
+  auto settings = LoadSettings(options->settingsPath_, ReadSettings);
   if (!settings) {
     return kExitBadInput;
   }
