Waves and moves of VMs on the platform

Change: PoolPlanner decides who gets which VM and when a VM of a wave goes down; a pool manager led like a service carries it out. Schedulers empty targets that are to go, within the availability of lasting steps. The registry watch pauses 300 ms, as every heartbeat of a target ended a watch.

--- a/include/coltsfootshed/Node/JobsNode.h
+++ b/include/coltsfootshed/Node/JobsNode.h
@@ -6,6 +6,7 @@
 
 #include "coltsfootshed/Node/JobDesk.h"
 #include "coltsfootshed/Node/NodeSettings.h"
+#include "coltsfootshed/Node/PoolManager.h"
 #include "coltsfootshed/Node/TargetRegistry.h"
 
 namespace coltsfootshed {
@@ -21,6 +22,7 @@
     KeyValueStore& store_;
     TargetCalls& targets_;
     AdviceCalls* advice_ = nullptr; ///< null: none is configured
+    VmCalls* vms_ = nullptr;        ///< null: VMs cannot be moved
   };
 
   JobsNode(Dependencies aDependencies,
@@ -35,6 +37,9 @@
 private:
   void OnSnapshot(std::vector<StoreItem> aItems) override;
   void OnEvent(const StoreEvent& aEvent) override;
+  void TakeItem(const StoreItem& aItem);
+  void TakeWave(const StoreItem& aItem);
+  void LeadPools(Revision aRevision);
   void TakeConfig(const StoreItem& aItem);
   void OnDuty(const std::string& aDuty, Revision aRevision);
   void StartRegistry();
@@ -51,6 +56,8 @@
   LeaderTable table_;
   LeaderLinks links_;
   JobDesk desk_;
+  std::map<std::int64_t, WaveConfig> waves_;
+  std::unique_ptr<PoolManager> pools_;
   HttpServer front_;
   HttpServer ready_;
   HttpServer peers_;
--- a/include/coltsfootshed/Node/LeaderLinks.h
+++ b/include/coltsfootshed/Node/LeaderLinks.h
@@ -33,6 +33,11 @@
   void AskWaiting(const std::string& aService,
                   const std::string& aQueue,
                   std::function<void(Result<int>)> aOnAnswer);
+  /// Tells a leader which targets must take no starts, and asks how busy its
+  /// pool is.
+  void AskPool(const std::string& aService,
+               const std::vector<std::string>& aVacating,
+               std::function<void(Result<PoolReport>)> aOnAnswer);
 
   /// Serves the calls of other entry VMs.
   void Serve(const std::shared_ptr<ServerExchange>& aExchange);
--- /dev/null
+++ b/include/coltsfootshed/Node/PoolManager.h
@@ -0,0 +1,80 @@
+/// \file
+/// Leads the pools: gathers reports of the services' leaders, and carries the
+/// planner's orders to the service that moves and maintains VMs.
+#ifndef COLTSFOOTSHED_NODE_POOLMANAGER_H
+#define COLTSFOOTSHED_NODE_POOLMANAGER_H
+
+#include "coltsfootshed/Node/LeaderLinks.h"
+#include "coltsfootshed/Node/WireFormat.h"
+#include "coltsfootshed/Pools/PoolPlanner.h"
+
+namespace coltsfootshed {
+
+class PoolManager
+{
+public:
+  struct Dependencies
+  {
+    event_base* base_ = nullptr;
+    const Clock& clock_;
+    KeyValueStore& store_;
+    VmCalls& vms_;
+    LeaderLinks& links_;
+    const WireFormat& format_;
+  };
+
+  /// aFence: revision of the leader's key. Orders begin after aQuiet, so that
+  /// an earlier manager's have ended.
+  PoolManager(Dependencies aDependencies,
+              std::string aNode,
+              Fence aFence,
+              Millis aQuiet);
+  PoolManager(const PoolManager&) = delete;
+  PoolManager& operator=(const PoolManager&) = delete;
+
+  void SetConfig(const std::shared_ptr<const JobsConfig>& aConfig);
+  void SetWave(const WaveConfig& aWave);
+
+private:
+  void Load();
+  void Tick();
+  void ListVms();
+  void Gather();
+  void Carry(const PoolOrder& aOrder);
+  void OnOrderEnd(const std::string& aVm, VmOrderEnd aEnd);
+  void SaveWaves();
+
+  template<typename F>
+  auto Guard(F aFunction)
+  {
+    return [alive = std::weak_ptr<bool>(alive_),
+            function = std::move(aFunction)](const auto&... aArguments) {
+      if (!alive.expired()) {
+        function(aArguments...);
+      }
+    };
+  }
+
+  Dependencies with_;
+  std::string node_;
+  Fence fence_;
+  Millis quietUntil_;
+  PoolPlanner planner_;
+  std::shared_ptr<const JobsConfig> config_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  Timer tickTimer_;
+  std::uint64_t orders_ = 0;
+  bool loaded_ = false;
+  bool fencedOff_ = false;
+  bool listing_ = false;
+  Millis listAt_{ 0 };
+  std::set<std::string> gathering_;
+  bool saving_ = false;
+  std::uint64_t savedChanges_ = 0;
+  Revision savedRevision_ = 0;
+  Millis saveAt_{ 0 };
+};
+
+} // namespace coltsfootshed
+
+#endif
--- /dev/null
+++ b/include/coltsfootshed/Pools/PoolPlanner.h
@@ -0,0 +1,152 @@
+/// \file
+/// Decides which VMs serve which pool, and when each VM of a maintenance wave
+/// is taken down. Knows no sockets.
+///
+/// Load that it answers: queues that ask in turn for several times their mean.
+/// Pools grow with what waits and arrives, take VMs from idle pools and the
+/// spare pool, and give idle VMs back, as each VM in a pool costs.
+#ifndef COLTSFOOTSHED_POOLS_POOLPLANNER_H
+#define COLTSFOOTSHED_POOLS_POOLPLANNER_H
+
+#include "coltsfootshed/Node/JobsConfig.h"
+#include "coltsfootshed/Pools/VmCalls.h"
+#include "coltsfootshed/Support/Clock.h"
+
+#include <map>
+#include <set>
+#include <span>
+#include <variant>
+
+namespace coltsfootshed {
+
+/// What a service's scheduler says of one of its targets.
+struct TargetUse
+{
+  std::string target_;
+  int runs_ = 0;
+  int lasting_ = 0;       ///< of them, runs that end only when cancelled
+  bool vacating_ = false; ///< takes no starts
+};
+
+/// What a service's scheduler says of its pool.
+struct PoolReport
+{
+  std::string service_;
+  Resources used_;      ///< by runs
+  Resources waiting_;   ///< by tasks that could start now
+  double arrivingCpu_ = 0; ///< thousandths of a core that new work keeps busy
+  int leastVms_ = 0; ///< that its steps need so as to spread their tasks
+  std::vector<TargetUse> targets_;
+};
+
+std::string EncodeReport(const PoolReport& aReport);
+Result<PoolReport> DecodeReport(std::string_view aText);
+
+struct MoveVm
+{
+  std::string vm_;
+  std::string pool_;
+};
+struct MaintainVm
+{
+  std::string vm_;
+  std::int64_t wave_ = 0;
+};
+/// Tells the operator how far a wave is.
+struct ShowWave
+{
+  std::int64_t wave_ = 0;
+  bool complete_ = false;
+};
+using PoolOrder = std::variant<MoveVm, MaintainVm, ShowWave>;
+
+class PoolPlanner
+{
+public:
+  explicit PoolPlanner(const Clock& aClock);
+
+  void SetServices(std::span<const ServiceConfig> aServices);
+  void SetWave(const WaveConfig& aWave);
+  void RemoveWave(std::int64_t aWave);
+  void SetVms(std::vector<PoolVm> aVms);
+  void SetReport(const PoolReport& aReport);
+  /// Answer to an order.
+  void OnVmOrder(const std::string& aVm, VmOrderEnd aEnd);
+
+  /// The state of a wave could not be shown.
+  void ShowAgain(std::int64_t aWave);
+
+  /// Orders that follow from all that is known now.
+  std::vector<PoolOrder> Decide();
+  /// Targets of a service that must take no starts.
+  std::vector<std::string> Vacating(std::string_view aService) const;
+
+  /// Saved form of what maintenance has begun, and its change count.
+  std::string EncodeWaves() const;
+  void LoadWaves(std::string_view aText);
+  std::uint64_t WaveChanges() const { return waveChanges_; }
+
+private:
+  struct Report
+  {
+    PoolReport content_;
+    Millis at_{ 0 };
+  };
+  enum class Intent
+  {
+    Move,
+    Maintain
+  };
+  /// Why a VM is being emptied, or what was ordered for it.
+  struct Plan
+  {
+    Intent intent_ = Intent::Move;
+    std::string pool_;      ///< for a move
+    std::int64_t wave_ = 0; ///< for maintenance
+    Millis since_{ 0 };
+    bool ordered_ = false;  ///< the call is under way
+    Millis orderAt_{ 0 };   ///< not before
+  };
+  struct Wave
+  {
+    WaveConfig config_;
+    Millis since_{ 0 };
+    std::set<std::string> begun_;
+    std::map<std::string, Millis> beganAt_;
+    bool shownRunning_ = false;
+    bool complete_ = false;
+  };
+
+  const PoolVm* FindVm(std::string_view aVm) const;
+  const Report* FreshReport(std::string_view aService) const;
+  const TargetUse* UseOf(const PoolVm& aVm) const;
+  int Needed(const PoolReport& aReport, const Resources& aVmSize) const;
+  int Count(std::string_view aPool) const;
+  bool IsSpare(std::string_view aPool) const { return spare_ == aPool; }
+  bool IsFree(const PoolVm& aVm) const;
+  void PlanWaves(std::vector<PoolOrder>& aOrders);
+  void PlanWave(Wave& aWave, std::vector<PoolOrder>& aOrders);
+  int DownFor(const Wave& aWave) const;
+  void PlanMoves();
+  void PlanTake(const std::string& aService, int aMissing);
+  void PlanGive(const std::string& aService, int aSurplus);
+  void OrderEmptied(std::vector<PoolOrder>& aOrders);
+  bool IsEmptied(const PoolVm& aVm) const;
+
+  const Clock& clock_;
+  std::set<std::string> services_;
+  std::string spare_;
+  std::map<std::string, PoolVm, std::less<>> vms_;
+  std::map<std::string, Report, std::less<>> reports_;
+  std::map<std::string, Plan, std::less<>> plans_; ///< by VM
+  std::map<std::int64_t, Wave> waves_;
+  std::map<std::string, Millis> surplusSince_;  ///< by service
+  std::map<std::string, Millis> notBefore_;     ///< by VM, after a refusal
+  std::set<std::pair<std::string, std::string>> impossible_; ///< VM, pool
+  std::map<std::string, std::pair<std::string, Millis>> movedTo_; ///< by VM
+  std::uint64_t waveChanges_ = 0;
+};
+
+} // namespace coltsfootshed
+
+#endif
--- a/include/coltsfootshed/Scheduling/Scheduler.h
+++ b/include/coltsfootshed/Scheduling/Scheduler.h
@@ -5,10 +5,12 @@
 #ifndef COLTSFOOTSHED_SCHEDULING_SCHEDULER_H
 #define COLTSFOOTSHED_SCHEDULING_SCHEDULER_H
 
+#include "coltsfootshed/Pools/PoolPlanner.h"
 #include "coltsfootshed/Scheduling/ImageEstimates.h"
 #include "coltsfootshed/Scheduling/TargetState.h"
 #include "coltsfootshed/Targets/Target.h"
 
+#include <deque>
 #include <memory>
 #include <span>
 #include <unordered_map>
@@ -86,17 +88,6 @@
                                     SaveRoster,
                                     Abdicate>;
 
-/// How busy a service is.
-struct ServiceLoad
-{
-  Resources capacity_;      ///< of the targets that may be used
-  std::int64_t usedCpu_ = 0; ///< thousandths of a core under live runs
-  std::int64_t waitingCpu_ = 0; ///< of tasks that could start now
-  double waitingWork_ = 0;  ///< core-seconds not started, of all jobs
-  int targets_ = 0;
-  int idleTargets_ = 0;
-};
-
 class Scheduler
 {
 public:
@@ -148,8 +139,8 @@
   std::optional<JobState> StateOf(std::string_view aJob) const;
   /// Jobs without times that have not begun.
   int Waiting(std::string_view aQueue) const;
-  ServiceLoad Load() const;
-  bool HasRunsOn(std::string_view aTarget) const;
+  /// How busy the service is, and what runs on each of its targets.
+  PoolReport Report() const;
   /// True when no target can hold runs that this scheduler does not know.
   bool IsReady() const { return ready_; }
   std::size_t Jobs() const { return jobs_.size(); }
@@ -184,6 +175,8 @@
   };
 
   Job* FindJob(std::string_view aId);
+  void CountArrival(const Job& aJob, Millis aAge);
+  static void AddWaiting(const Job& aJob, PoolReport& aReport);
   ChangeNumber Touch(Job& aJob);
   void MayAct() { dirty_ = true; }
   void Due(Millis aAt) { nextDue_ = std::min(nextDue_, aAt); }
@@ -207,6 +200,9 @@
   void CountOutcome(TargetState& aTarget, const std::string& aJob, bool aDone);
 
   // Stops and pace.
+  void DecideEvacuations();
+  int TasksAway(const Job& aJob, const TaskName& aExcept) const;
+  bool HasRoomElsewhere(const StepSpec& aSpec, const TaskName& aStep) const;
   void DecideStops(std::vector<SchedulerOrder>& aOrders);
   bool IsWanted(const TargetState& aTarget,
                 const RunKey& aRun,
@@ -258,6 +254,8 @@
   std::map<std::string, TargetState, std::less<>> targets_;
   std::map<TaskName, StepAdvice> advice_; ///< index 0 names the step
   ImageEstimates estimates_;
+  /// Work that came lately: when, and how many core-milliseconds.
+  std::deque<std::pair<Millis, double>> arrivals_;
   bool saveInFlight_ = false;
   Millis saveAgainAt_{ 0 };
   bool rosterInFlight_ = false;
--- a/include/coltsfootshed/Scheduling/TargetState.h
+++ b/include/coltsfootshed/Scheduling/TargetState.h
@@ -26,6 +26,7 @@
   Resources takes_;
   bool serves_ = false; ///< has a latency target
   bool fills_ = false;
+  bool lasting_ = false; ///< ends only when cancelled
   Millis latencyTarget_{ 0 };
   Millis estimate_{ 0 };
   Millis sentAt_{ 0 };
--- a/include/coltsfootshed/Store/Keys.h
+++ b/include/coltsfootshed/Store/Keys.h
@@ -47,6 +47,13 @@
 {
   return "cf/t/" + std::string(aService);
 }
+/// The duty of moving and maintaining VMs; no service has this name.
+inline constexpr const char* kPoolsDuty = "~pools";
+/// Which VMs have begun the maintenance of their wave.
+inline std::string Pools()
+{
+  return "cf/pools";
+}
 /// The rest of aKey after aPrefix, or an empty text if it does not start so.
 inline std::string_view After(std::string_view aKey, std::string_view aPrefix)
 {
--- a/lib/Node/JobsNode.cpp
+++ b/lib/Node/JobsNode.cpp
@@ -106,22 +106,46 @@
 void JobsNode::OnSnapshot(std::vector<StoreItem> aItems)
 {
   for (const StoreItem& item : aItems) {
-    TakeConfig(item);
+    TakeItem(item);
   }
 }
 
 void JobsNode::OnEvent(const StoreEvent& aEvent)
 {
   if (!aEvent.deleted_) {
-    TakeConfig(aEvent.item_);
+    TakeItem(aEvent.item_);
   }
 }
 
-void JobsNode::TakeConfig(const StoreItem& aItem)
+void JobsNode::TakeItem(const StoreItem& aItem)
+{
+  if (aItem.key_ == format_.configKey_) {
+    TakeConfig(aItem);
+  } else if (!keys::After(aItem.key_, format_.wavePrefix_).empty()) {
+    TakeWave(aItem);
+  }
+}
+
+void JobsNode::TakeWave(const StoreItem& aItem)
 {
-  if (aItem.key_ != format_.configKey_) {
+  auto wave = format_.readWave_(aItem.value_);
+  if (!wave) {
+    LogBelief("wave-unreadable",
+              { { "key", aItem.key_ }, { "error", wave.error().Text() } });
     return;
   }
+  LogBelief("wave",
+            { { "wave", std::to_string(wave->number_) },
+              { "vms", std::to_string(wave->vms_.size()) },
+              { "cap", std::to_string(wave->cap_) } });
+  waves_[wave->number_] = *wave;
+  if (pools_ != nullptr) {
+    pools_->SetWave(*wave);
+  }
+}
+
+void JobsNode::TakeConfig(const StoreItem& aItem)
+{
   auto config = format_.readConfig_(aItem.value_);
   if (!config) {
     LogBelief("config-unreadable", { { "error", config.error().Text() } });
@@ -137,7 +161,13 @@
               { "services", std::to_string(config->services_.size()) } });
   config_ = std::make_shared<const JobsConfig>(std::move(*config));
   desk_.SetConfig(config_);
+  if (pools_ != nullptr) {
+    pools_->SetConfig(config_);
+  }
   std::set<std::string> duties;
+  if (with_.vms_ != nullptr) {
+    duties.insert(keys::kPoolsDuty);
+  }
   for (const ServiceConfig& service : config_->services_) {
     if (!service.spare_) {
       duties.insert(service.name_);
@@ -152,8 +182,34 @@
   return found == leaders_.end() ? nullptr : found->second.get();
 }
 
+void JobsNode::LeadPools(Revision aRevision)
+{
+  pools_.reset();
+  if (aRevision == 0) {
+    return;
+  }
+  pools_ = std::make_unique<PoolManager>(
+    PoolManager::Dependencies{ with_.base_,
+                               with_.clock_,
+                               with_.store_,
+                               *with_.vms_,
+                               links_,
+                               format_ },
+    settings_.node_,
+    aRevision,
+    settings_.machineLease_);
+  pools_->SetConfig(config_);
+  for (const auto& [number, wave] : waves_) {
+    pools_->SetWave(wave);
+  }
+}
+
 void JobsNode::OnDuty(const std::string& aDuty, Revision aRevision)
 {
+  if (aDuty == keys::kPoolsDuty) {
+    LeadPools(aRevision);
+    return;
+  }
   leaders_.erase(aDuty);
   if (aRevision == 0) {
     return;
@@ -220,6 +276,7 @@
   LogBelief("stopping", { { "open", std::to_string(front_.Open()) } });
   front_.CloseAfterAnswers();
   leaders_.clear();
+  pools_.reset();
   table_.Leave([this] { left_ = true; });
   stopTimer_.Start(kStopCheck);
 }
--- a/lib/Node/LeaderLinks.cpp
+++ b/lib/Node/LeaderLinks.cpp
@@ -3,6 +3,7 @@
 #include "coltsfootshed/Observe/DecisionLog.h"
 
 #include <charconv>
+#include <nlohmann/json.hpp>
 
 namespace coltsfootshed {
 
@@ -18,6 +19,7 @@
 static constexpr const char* kCancelPath = "/cancel";
 static constexpr const char* kStatePath = "/state";
 static constexpr const char* kWaitingPath = "/waiting";
+static constexpr const char* kPoolPath = "/pool";
 static constexpr const char* kMetricsPath = "/metrics";
 
 LeaderLinks::LeaderLinks(event_base* aBase,
@@ -164,6 +166,42 @@
        });
 }
 
+static std::string EncodeIds(const std::vector<std::string>& aIds)
+{
+  return nlohmann::json(aIds).dump();
+}
+
+static std::vector<std::string> DecodeIds(const std::string& aText)
+{
+  auto json = nlohmann::json::parse(aText, nullptr, false);
+  return json.is_array() ? json.get<std::vector<std::string>>()
+                         : std::vector<std::string>();
+}
+
+void LeaderLinks::AskPool(const std::string& aService,
+                          const std::vector<std::string>& aVacating,
+                          std::function<void(Result<PoolReport>)> aOnAnswer)
+{
+  ServiceLeader* local = findLocal_(aService);
+  if (local != nullptr && local->IsLoaded()) {
+    local->SetVacating(aVacating);
+    aOnAnswer(local->State().Report());
+    return;
+  }
+  Call(aService,
+       { "POST",
+         std::string(kPoolPath) + "?service=" + aService,
+         {},
+         EncodeIds(aVacating) },
+       [onAnswer = std::move(aOnAnswer)](const Result<HttpAnswer>& aAnswer) {
+         if (!aAnswer) {
+           onAnswer(tl::unexpected(aAnswer.error()));
+           return;
+         }
+         onAnswer(DecodeReport(aAnswer->body_));
+       });
+}
+
 HttpAnswer LeaderLinks::Answer(const HttpRequest& aRequest)
 {
   std::string_view path = PathOf(aRequest.target_);
@@ -192,6 +230,10 @@
     local->CancelJob(job);
     return { kOk, {}, {} };
   }
+  if (path == kPoolPath) {
+    local->SetVacating(DecodeIds(aRequest.body_));
+    return { kOk, {}, EncodeReport(local->State().Report()) };
+  }
   if (path == kStatePath) {
     auto state = local->State().StateOf(job);
     return state ? HttpAnswer{ kOk, {}, std::string(NameOf(*state)) }
--- a/lib/Node/TargetRegistry.cpp
+++ b/lib/Node/TargetRegistry.cpp
@@ -10,6 +10,9 @@
 /// Entries that lapsed with the store come back within two seconds.
 static constexpr Millis kGoneAfter{ 2200 };
 static constexpr Millis kSweepPause{ 300 };
+/// Events gather between watches, each of which is priced; well below the time
+/// within which a target that drains must get no more starts.
+static constexpr Millis kWatchPause{ 300 };
 
 TargetRegistry::TargetRegistry(event_base* aBase,
                                const Clock& aClock,
@@ -25,7 +28,7 @@
               aClock,
               aStore,
               *this,
-              { aFormat.registryPrefix_ },
+              { aFormat.registryPrefix_, Millis(2000), kWatchPause },
               aSeed)
 {
 }
--- /dev/null
+++ b/lib/Pools/PoolPlanner.cpp
@@ -0,0 +1,500 @@
+#include "coltsfootshed/Pools/PoolPlanner.h"
+
+#include "coltsfootshed/Observe/DecisionLog.h"
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace coltsfootshed {
+
+using Json = nlohmann::json;
+
+/// Older reports are not acted on: the service may have a new leader.
+static constexpr Millis kReportAge{ 700 };
+/// Room above the load, so that new work starts at once and a lost VM hurts
+/// little.
+static constexpr double kHeadroom = 1.2;
+static constexpr int kReserve = 1; ///< VMs above the need
+/// A pool keeps VMs that it does not need this long: demand may come back,
+/// and a move costs about as much as a VM-second.
+static constexpr Millis kKeepSurplus{ 1500 };
+/// A plan to empty a VM is dropped after this long, for moves.
+static constexpr Millis kVacateLimit{ 4000 };
+/// Pause after an order was refused.
+static constexpr Millis kRefusedPause{ 500 };
+/// The list may lag behind an order by this much.
+static constexpr Millis kListLag{ 2500 };
+/// Share of a pool's VMs that a wave may empty at once.
+static constexpr double kWaveShare = 0.25;
+
+std::string EncodeReport(const PoolReport& aReport)
+{
+  Json targets = Json::array();
+  for (const TargetUse& use : aReport.targets_) {
+    targets.push_back({ use.target_, use.runs_, use.lasting_, use.vacating_ });
+  }
+  Json json = { { "service", aReport.service_ },
+                { "used", { aReport.used_.cpu_, aReport.used_.memory_ } },
+                { "waiting",
+                  { aReport.waiting_.cpu_, aReport.waiting_.memory_ } },
+                { "arriving", aReport.arrivingCpu_ },
+                { "least", aReport.leastVms_ },
+                { "targets", targets } };
+  return json.dump();
+}
+
+Result<PoolReport> DecodeReport(std::string_view aText)
+{
+  try {
+    Json json = Json::parse(aText);
+    PoolReport report;
+    report.service_ = json.at("service");
+    report.used_.cpu_ = json.at("used").at(0);
+    report.used_.memory_ = json.at("used").at(1);
+    report.waiting_.cpu_ = json.at("waiting").at(0);
+    report.waiting_.memory_ = json.at("waiting").at(1);
+    report.arrivingCpu_ = json.at("arriving");
+    report.leastVms_ = json.at("least");
+    for (const Json& row : json.at("targets")) {
+      report.targets_.push_back(
+        { row.at(0), row.at(1), row.at(2), row.at(3) });
+    }
+    return report;
+  } catch (const Json::exception& failure) {
+    return Fail("read a pool report", "", failure.what());
+  }
+}
+
+PoolPlanner::PoolPlanner(const Clock& aClock)
+  : clock_(aClock)
+{
+}
+
+void PoolPlanner::SetServices(std::span<const ServiceConfig> aServices)
+{
+  services_.clear();
+  spare_.clear();
+  for (const ServiceConfig& service : aServices) {
+    if (service.spare_) {
+      spare_ = service.name_;
+    } else {
+      services_.insert(service.name_);
+    }
+  }
+}
+
+void PoolPlanner::SetWave(const WaveConfig& aWave)
+{
+  auto [entry, isNew] = waves_.try_emplace(aWave.number_);
+  entry->second.config_ = aWave;
+  if (isNew) {
+    entry->second.since_ = clock_.Now();
+  }
+}
+
+void PoolPlanner::RemoveWave(std::int64_t aWave)
+{
+  waves_.erase(aWave);
+}
+
+void PoolPlanner::SetVms(std::vector<PoolVm> aVms)
+{
+  Millis now = clock_.Now();
+  vms_.clear();
+  for (PoolVm& vm : aVms) {
+    auto moved = movedTo_.find(vm.vm_);
+    // An order that the list does not show yet stands.
+    if (moved != movedTo_.end()) {
+      bool shown = vm.pool_ == moved->second.first ||
+                   now - moved->second.second > kListLag;
+      if (shown) {
+        movedTo_.erase(moved);
+      } else {
+        vm.pool_ = moved->second.first;
+        vm.phase_ = VmPhase::Moving;
+      }
+    }
+    vms_.emplace(vm.vm_, vm);
+  }
+  std::erase_if(plans_,
+                [this](const auto& aEntry) { return !FindVm(aEntry.first); });
+}
+
+void PoolPlanner::SetReport(const PoolReport& aReport)
+{
+  reports_[aReport.service_] = { aReport, clock_.Now() };
+}
+
+const PoolVm* PoolPlanner::FindVm(std::string_view aVm) const
+{
+  auto found = vms_.find(aVm);
+  return found == vms_.end() ? nullptr : &found->second;
+}
+
+const PoolPlanner::Report* PoolPlanner::FreshReport(
+  std::string_view aService) const
+{
+  auto found = reports_.find(aService);
+  bool fresh = found != reports_.end() &&
+               clock_.Now() - found->second.at_ <= kReportAge;
+  return fresh ? &found->second : nullptr;
+}
+
+const TargetUse* PoolPlanner::UseOf(const PoolVm& aVm) const
+{
+  const Report* report = FreshReport(aVm.pool_);
+  if (report == nullptr) {
+    return nullptr;
+  }
+  for (const TargetUse& use : report->content_.targets_) {
+    if (use.target_ == aVm.target_) {
+      return &use;
+    }
+  }
+  return nullptr;
+}
+
+int PoolPlanner::Needed(const PoolReport& aReport,
+                        const Resources& aVmSize) const
+{
+  double cpu = std::max(
+    static_cast<double>(aReport.used_.cpu_ + aReport.waiting_.cpu_),
+    aReport.arrivingCpu_);
+  double memory =
+    static_cast<double>(aReport.used_.memory_ + aReport.waiting_.memory_);
+  double vms =
+    std::max(cpu / static_cast<double>(std::max<std::int64_t>(1, aVmSize.cpu_)),
+             memory /
+               static_cast<double>(std::max<std::int64_t>(1, aVmSize.memory_)));
+  return std::max(static_cast<int>(std::ceil(vms * kHeadroom)),
+                  aReport.leastVms_) +
+         kReserve;
+}
+
+/// VMs that serve a pool or are about to.
+int PoolPlanner::Count(std::string_view aPool) const
+{
+  int count = 0;
+  for (const auto& [name, vm] : vms_) {
+    auto plan = plans_.find(name);
+    bool leaves = plan != plans_.end() && plan->second.intent_ == Intent::Move;
+    if (leaves) {
+      count += plan->second.pool_ == aPool ? 1 : 0;
+    } else if (vm.pool_ == aPool && vm.phase_ != VmPhase::Down) {
+      ++count;
+    }
+  }
+  return count;
+}
+
+/// True if nothing is planned for a VM and it can be ordered.
+bool PoolPlanner::IsFree(const PoolVm& aVm) const
+{
+  auto wait = notBefore_.find(aVm.vm_);
+  return aVm.phase_ == VmPhase::Up && plans_.count(aVm.vm_) == 0 &&
+         (wait == notBefore_.end() || wait->second <= clock_.Now());
+}
+
+std::vector<PoolOrder> PoolPlanner::Decide()
+{
+  std::vector<PoolOrder> orders;
+  Millis now = clock_.Now();
+  std::erase_if(plans_, [&](const auto& aEntry) {
+    const Plan& plan = aEntry.second;
+    return plan.intent_ == Intent::Move && !plan.ordered_ &&
+           now - plan.since_ > kVacateLimit;
+  });
+  PlanWaves(orders);
+  PlanMoves();
+  OrderEmptied(orders);
+  return orders;
+}
+
+int PoolPlanner::DownFor(const Wave& aWave) const
+{
+  Millis now = clock_.Now();
+  int down = 0;
+  for (const auto& [vm, at] : aWave.beganAt_) {
+    const PoolVm* known = FindVm(vm);
+    bool isDown = now - at < kListLag ||
+                  (known != nullptr && known->phase_ == VmPhase::Maintained);
+    down += isDown ? 1 : 0;
+  }
+  for (const auto& [vm, plan] : plans_) {
+    bool ordered = plan.intent_ == Intent::Maintain && plan.ordered_ &&
+                   plan.wave_ == aWave.config_.number_;
+    down += ordered ? 1 : 0;
+  }
+  return down;
+}
+
+void PoolPlanner::PlanWaves(std::vector<PoolOrder>& aOrders)
+{
+  for (auto& [number, wave] : waves_) {
+    PlanWave(wave, aOrders);
+  }
+}
+
+void PoolPlanner::PlanWave(Wave& aWave, std::vector<PoolOrder>& aOrders)
+{
+  if (vms_.empty()) {
+    return;
+  }
+  if (!aWave.shownRunning_) {
+    aWave.shownRunning_ = true;
+    aOrders.emplace_back(ShowWave{ aWave.config_.number_, false });
+  }
+  std::vector<const PoolVm*> due;
+  bool open = false;
+  for (const std::string& name : aWave.config_.vms_) {
+    const PoolVm* vm = FindVm(name);
+    if (vm == nullptr || aWave.begun_.count(name) > 0) {
+      continue;
+    }
+    open = true;
+    if (IsFree(*vm)) {
+      due.push_back(vm);
+    }
+  }
+  if (!open && !aWave.complete_) {
+    aWave.complete_ = true;
+    aOrders.emplace_back(ShowWave{ aWave.config_.number_, true });
+  }
+  // VMs whose loss costs least go first.
+  auto runs = [this](const PoolVm* aVm) {
+    const TargetUse* use = UseOf(*aVm);
+    int costs = use == nullptr ? 1000 : use->runs_ + 100 * use->lasting_;
+    return IsSpare(aVm->pool_) ? -1 : costs;
+  };
+  std::stable_sort(due.begin(), due.end(), [&](const auto* l, const auto* r) {
+    return runs(l) < runs(r);
+  });
+  int planned = DownFor(aWave);
+  std::map<std::string, int> emptied;
+  for (const auto& [name, plan] : plans_) {
+    if (plan.intent_ == Intent::Maintain) {
+      planned += plan.ordered_ ? 0 : 1;
+      ++emptied[FindVm(name)->pool_];
+    }
+  }
+  for (const PoolVm* vm : due) {
+    if (planned >= aWave.config_.cap_) {
+      return;
+    }
+    bool spare = IsSpare(vm->pool_);
+    int most = std::max(
+      1, static_cast<int>(kWaveShare * static_cast<double>(Count(vm->pool_))));
+    bool mayEmpty =
+      spare || (UseOf(*vm) != nullptr && emptied[vm->pool_] < most);
+    if (!mayEmpty) {
+      continue;
+    }
+    ++planned;
+    ++emptied[vm->pool_];
+    Plan plan;
+    plan.intent_ = Intent::Maintain;
+    plan.wave_ = aWave.config_.number_;
+    plan.since_ = clock_.Now();
+    plans_.emplace(vm->vm_, plan);
+  }
+}
+
+void PoolPlanner::PlanMoves()
+{
+  if (vms_.empty() || spare_.empty()) {
+    return;
+  }
+  Millis now = clock_.Now();
+  for (const std::string& service : services_) {
+    const Report* report = FreshReport(service);
+    if (report == nullptr) {
+      continue;
+    }
+    Resources size = vms_.begin()->second.capacity_;
+    for (const auto& [name, vm] : vms_) {
+      if (vm.pool_ == service) {
+        size = vm.capacity_;
+      }
+    }
+    int missing = Needed(report->content_, size) - Count(service);
+    if (missing >= 0) {
+      surplusSince_.erase(service);
+    }
+    if (missing > 0) {
+      PlanTake(service, missing);
+    } else if (missing < 0) {
+      Millis since = surplusSince_.try_emplace(service, now).first->second;
+      if (now - since >= kKeepSurplus) {
+        PlanGive(service, -missing);
+      }
+    }
+  }
+}
+
+void PoolPlanner::PlanTake(const std::string& aService, int aMissing)
+{
+  for (const auto& [name, vm] : vms_) {
+    if (aMissing == 0) {
+      return;
+    }
+    if (IsSpare(vm.pool_) && IsFree(vm) &&
+        impossible_.count({ name, aService }) == 0) {
+      plans_[name] = Plan{ Intent::Move, aService, 0, clock_.Now() };
+      --aMissing;
+    }
+  }
+}
+
+void PoolPlanner::PlanGive(const std::string& aService, int aSurplus)
+{
+  std::vector<std::pair<int, const PoolVm*>> idle;
+  for (const auto& [name, vm] : vms_) {
+    const TargetUse* use =
+      vm.pool_ == aService && IsFree(vm) ? UseOf(vm) : nullptr;
+    if (use != nullptr && use->lasting_ == 0 &&
+        impossible_.count({ name, spare_ }) == 0) {
+      idle.emplace_back(use->runs_, &vm);
+    }
+  }
+  std::stable_sort(idle.begin(), idle.end(), [](const auto& l, const auto& r) {
+    return l.first < r.first;
+  });
+  for (const auto& [runs, vm] : idle) {
+    if (aSurplus == 0) {
+      return;
+    }
+    plans_[vm->vm_] = Plan{ Intent::Move, spare_, 0, clock_.Now() };
+    --aSurplus;
+  }
+}
+
+bool PoolPlanner::IsEmptied(const PoolVm& aVm) const
+{
+  if (IsSpare(aVm.pool_)) {
+    return true;
+  }
+  const TargetUse* use = UseOf(aVm);
+  return use != nullptr && use->vacating_ && use->runs_ == 0;
+}
+
+void PoolPlanner::OrderEmptied(std::vector<PoolOrder>& aOrders)
+{
+  Millis now = clock_.Now();
+  for (auto& [name, plan] : plans_) {
+    const PoolVm* vm = FindVm(name);
+    bool mayOrder = !plan.ordered_ && plan.orderAt_ <= now && IsEmptied(*vm);
+    if (!mayOrder) {
+      continue;
+    }
+    if (plan.intent_ == Intent::Maintain) {
+      Wave& wave = waves_.at(plan.wave_);
+      if (DownFor(wave) >= wave.config_.cap_) {
+        continue;
+      }
+      aOrders.emplace_back(MaintainVm{ name, plan.wave_ });
+    } else {
+      aOrders.emplace_back(MoveVm{ name, plan.pool_ });
+    }
+    plan.ordered_ = true;
+    LogDecision(plan.intent_ == Intent::Move ? "vm-move" : "vm-maintain",
+                { { "vm", name },
+                  { "from", vm->pool_ },
+                  { "to", plan.pool_ },
+                  { "wave", std::to_string(plan.wave_) },
+                  { "planned_ms_ago",
+                    std::to_string((now - plan.since_).count()) } });
+  }
+}
+
+void PoolPlanner::OnVmOrder(const std::string& aVm, VmOrderEnd aEnd)
+{
+  auto found = plans_.find(aVm);
+  if (found == plans_.end()) {
+    return;
+  }
+  Plan plan = found->second;
+  Millis now = clock_.Now();
+  if (aEnd == VmOrderEnd::NoAnswer || aEnd == VmOrderEnd::Refused) {
+    // The same order again: it is done at most once.
+    found->second.ordered_ = false;
+    found->second.orderAt_ = now + kRefusedPause;
+    return;
+  }
+  plans_.erase(found);
+  if (aEnd != VmOrderEnd::Done) {
+    LogDecision("vm-order-refused",
+                { { "vm", aVm },
+                  { "end", std::to_string(static_cast<int>(aEnd)) } });
+    notBefore_[aVm] = now + kRefusedPause;
+    if (aEnd == VmOrderEnd::Impossible) {
+      impossible_.emplace(aVm, plan.pool_);
+    }
+    return;
+  }
+  auto vm = vms_.find(aVm);
+  if (plan.intent_ == Intent::Move) {
+    movedTo_[aVm] = { plan.pool_, now };
+    if (vm != vms_.end()) {
+      vm->second.pool_ = plan.pool_;
+      vm->second.phase_ = VmPhase::Moving;
+    }
+    return;
+  }
+  auto wave = waves_.find(plan.wave_);
+  if (wave != waves_.end()) {
+    wave->second.begun_.insert(aVm);
+    wave->second.beganAt_[aVm] = now;
+    ++waveChanges_;
+  }
+  if (vm != vms_.end()) {
+    vm->second.phase_ = VmPhase::Maintained;
+  }
+}
+
+void PoolPlanner::ShowAgain(std::int64_t aWave)
+{
+  auto wave = waves_.find(aWave);
+  if (wave != waves_.end()) {
+    wave->second.shownRunning_ = false;
+    wave->second.complete_ = false;
+  }
+}
+
+std::vector<std::string> PoolPlanner::Vacating(std::string_view aService) const
+{
+  std::vector<std::string> targets;
+  for (const auto& [name, plan] : plans_) {
+    const PoolVm* vm = FindVm(name);
+    if (vm != nullptr && vm->pool_ == aService) {
+      targets.push_back(vm->target_);
+    }
+  }
+  return targets;
+}
+
+std::string PoolPlanner::EncodeWaves() const
+{
+  Json json = Json::array();
+  for (const auto& [number, wave] : waves_) {
+    json.push_back({ number, wave.begun_ });
+  }
+  return json.dump();
+}
+
+void PoolPlanner::LoadWaves(std::string_view aText)
+{
+  Json json = Json::parse(aText, nullptr, false);
+  if (!json.is_array()) {
+    LogBelief("waves-unreadable", {});
+    return;
+  }
+  for (const Json& row : json) {
+    auto wave = waves_.find(row.at(0).get<std::int64_t>());
+    if (wave != waves_.end()) {
+      row.at(1).get_to(wave->second.begun_);
+    }
+  }
+}
+
+} // namespace coltsfootshed
--- a/lib/Scheduling/Scheduler.cpp
+++ b/lib/Scheduling/Scheduler.cpp
@@ -11,6 +11,9 @@
 static constexpr RunNumber kRunsPerFence = 1 << 20;
 /// Longest that Decide() waits for nothing.
 static constexpr Millis kLongestPause{ 1000 };
+/// Span over which arriving work is averaged: short against the seconds for
+/// which one queue asks for several times its mean.
+static constexpr Millis kArrivalWindow{ 1000 };
 /// Lets changes gather into one transaction.
 static constexpr Millis kSaveRetry{ 100 };
 /// Progress entries a transaction; each has a put and a condition, and one
@@ -56,6 +59,7 @@
                 { "age_ms", std::to_string(age.count()) },
                 { "steps", std::to_string(aRecord.spec_.steps_.size()) } });
   auto job = std::make_unique<Job>(std::move(aRecord), clock_.Now(), age);
+  CountArrival(*job, age);
   jobs_.emplace(id, std::move(job));
   MayAct();
   if (lateCancels_.erase(id) > 0) {
@@ -143,45 +147,87 @@
   return ended;
 }
 
-bool Scheduler::HasRunsOn(std::string_view aTarget) const
+/// Core-milliseconds of one run of all steps, as thousandths of a core times
+/// milliseconds over a thousand.
+static double WorkOf(const JobSpec& aSpec)
 {
-  auto found = targets_.find(aTarget);
-  return found != targets_.end() && !found->second.runs_.empty();
+  double work = 0;
+  for (const StepSpec& step : aSpec.steps_) {
+    if (!step.lasting_ && !step.fills_) {
+      work += static_cast<double>(step.tasks_) *
+              static_cast<double>(step.each_.cpu_) / 1000.0 *
+              static_cast<double>(step.estimate_.count());
+    }
+  }
+  return work;
+}
+
+void Scheduler::CountArrival(const Job& aJob, Millis aAge)
+{
+  Millis now = clock_.Now();
+  if (aAge < kArrivalWindow) {
+    arrivals_.emplace_back(now, WorkOf(aJob.Record().spec_));
+  }
+  while (!arrivals_.empty() && arrivals_.front().first < now - kArrivalWindow) {
+    arrivals_.pop_front();
+  }
 }
 
-ServiceLoad Scheduler::Load() const
+PoolReport Scheduler::Report() const
 {
-  ServiceLoad load;
+  PoolReport report;
+  report.service_ = settings_.service_;
   for (const auto& [id, target] : targets_) {
-    if (!MayUse(target)) {
+    if (!target.registered_) {
       continue;
     }
-    ++load.targets_;
-    load.idleTargets_ += target.runs_.empty() ? 1 : 0;
-    load.capacity_ += target.info_.capacity_;
-    load.usedCpu_ += target.info_.capacity_.cpu_ - target.Free().cpu_;
+    TargetUse use{ id, static_cast<int>(target.runs_.size()), 0,
+                   target.vacating_ };
+    Resources used = target.info_.capacity_;
+    used -= target.Free();
+    report.used_ += used;
+    for (const auto& [key, run] : target.runs_) {
+      use.lasting_ += run.lasting_ ? 1 : 0;
+    }
+    report.targets_.push_back(std::move(use));
   }
+  Millis now = clock_.Now();
+  double arrived = 0;
+  for (const auto& [at, work] : arrivals_) {
+    arrived += at >= now - kArrivalWindow ? work : 0;
+  }
+  report.arrivingCpu_ =
+    1000.0 * arrived / static_cast<double>(kArrivalWindow.count());
   for (const auto& [id, job] : jobs_) {
-    if (job->IsEnded()) {
-      continue;
+    if (!job->IsEnded()) {
+      AddWaiting(*job, report);
     }
-    for (const auto& [number, occurrence] : job->Occurrences()) {
-      for (std::size_t i = 0; i < occurrence.steps_.size(); ++i) {
-        const StepSpec& spec = job->Record().spec_.steps_[i];
-        const StepProgress& step = occurrence.steps_[i];
-        auto idle = std::count_if(
-          step.tasks_.begin(), step.tasks_.end(), [](const TaskProgress& t) {
-            return !t.done_ && t.live_.empty();
-          });
-        std::int64_t cpu = spec.fills_ ? 0 : idle * spec.each_.cpu_;
-        load.waitingCpu_ += occurrence.IsReady(spec) ? cpu : 0;
-        load.waitingWork_ += static_cast<double>(cpu) / 1000.0 *
-                             static_cast<double>(EstimateOf(spec).count()) /
-                             1000.0;
+  }
+  return report;
+}
+
+void Scheduler::AddWaiting(const Job& aJob, PoolReport& aReport)
+{
+  for (const auto& [number, occurrence] : aJob.Occurrences()) {
+    for (std::size_t i = 0; i < occurrence.steps_.size(); ++i) {
+      const StepSpec& spec = aJob.Record().spec_.steps_[i];
+      const StepProgress& step = occurrence.steps_[i];
+      if (step.IsDone() || !occurrence.IsReady(spec)) {
+        continue;
+      }
+      if (spec.maxPerTarget_ > 0) {
+        int spread =
+          (spec.tasks_ + spec.maxPerTarget_ - 1) / spec.maxPerTarget_;
+        aReport.leastVms_ = std::max(aReport.leastVms_, spread);
+      }
+      for (const TaskProgress& task : step.tasks_) {
+        if (!task.done_ && task.live_.empty()) {
+          aReport.waiting_.cpu_ += spec.fills_ ? 0 : spec.each_.cpu_;
+          aReport.waiting_.memory_ += spec.each_.memory_;
+        }
       }
     }
   }
-  return load;
 }
 
 std::vector<SchedulerOrder> Scheduler::Decide()
@@ -193,6 +239,7 @@
   nextDue_ = clock_.Now() + kLongestPause;
   DropLapsed();
   CheckReady();
+  DecideEvacuations();
   DecideStops(orders);
   DecidePace(orders);
   if (dirty_ && ready_) {
--- a/lib/Scheduling/SchedulerHolds.cpp
+++ b/lib/Scheduling/SchedulerHolds.cpp
@@ -486,6 +486,7 @@
     const StepSpec& spec = *job->SpecOf(aRow.task_);
     run.takes_ = spec.each_;
     run.fills_ = spec.fills_;
+    run.lasting_ = spec.lasting_;
     run.serves_ = spec.lasting_ && spec.latencyTarget_ > Millis(0);
     run.latencyTarget_ = spec.latencyTarget_;
     run.estimate_ = EstimateOf(spec);
--- a/lib/Scheduling/SchedulerOrders.cpp
+++ b/lib/Scheduling/SchedulerOrders.cpp
@@ -7,6 +7,8 @@
 
 namespace coltsfootshed {
 
+/// Percent of a lasting task that has finished its startup.
+static constexpr int kAtWork = 100;
 /// Pause before an order without an answer is sent again.
 static constexpr Millis kOrderRetry{ 300 };
 /// A start without an answer is looked for this long before it is stopped.
@@ -75,6 +77,73 @@
   return kept.target_ == aTarget.info_.id_ && kept.run_ == aRun.second;
 }
 
+/// Tasks of a step, but for aExcept, that are not at work.
+int Scheduler::TasksAway(const Job& aJob, const TaskName& aExcept) const
+{
+  const StepProgress& step =
+    aJob.Occurrences()
+      .at(aExcept.occurrence_)
+      .steps_.at(static_cast<std::size_t>(aExcept.step_));
+  int away = 0;
+  for (std::size_t i = 0; i < step.tasks_.size(); ++i) {
+    if (static_cast<int>(i) == aExcept.index_) {
+      continue;
+    }
+    TaskName name = aExcept;
+    name.index_ = static_cast<int>(i);
+    bool atWork = false;
+    for (const LiveRun& live : step.tasks_[i].live_) {
+      auto target = targets_.find(live.target_);
+      if (target == targets_.end() || target->second.failedHolds_ > 0) {
+        continue;
+      }
+      auto run = target->second.runs_.find({ name, live.run_ });
+      atWork |= run != target->second.runs_.end() &&
+                run->second.phase_ == RunPhase::Running &&
+                run->second.percent_ >= kAtWork;
+    }
+    away += atWork ? 0 : 1;
+  }
+  return away;
+}
+
+/// Stops lasting tasks on targets that are to be emptied, as far as the
+/// availability of their steps allows; they start again elsewhere.
+void Scheduler::DecideEvacuations()
+{
+  for (auto& [id, target] : targets_) {
+    if (!target.vacating_ || target.failedHolds_ > 0) {
+      continue;
+    }
+    for (auto& [key, run] : target.runs_) {
+      Job* job = FindJob(key.first.job_);
+      bool candidate = run.lasting_ && run.phase_ == RunPhase::Running &&
+                       !run.orderInFlight_ && job != nullptr &&
+                       job->Find(key.first) != nullptr;
+      if (!candidate) {
+        continue;
+      }
+      const StepSpec& spec = *job->SpecOf(key.first);
+      TaskName step = key.first;
+      step.index_ = 0;
+      int away = TasksAway(*job, key.first);
+      if (away >= spec.mayMiss_ || !HasRoomElsewhere(spec, step)) {
+        continue;
+      }
+      LogDecision("run-evacuate",
+                  { { "task", key.first.Text() },
+                    { "target", id },
+                    { "away", std::to_string(away) },
+                    { "may_miss", std::to_string(spec.mayMiss_) },
+                    { "age_ms",
+                      std::to_string(
+                        (clock_.Now() - target.lastAnswerAt_).count()) } });
+      run.phase_ = RunPhase::Stopping;
+      run.nextOrderAt_ = clock_.Now();
+    }
+  }
+}
+
 void Scheduler::DecideStops(std::vector<SchedulerOrder>& aOrders)
 {
   Millis now = clock_.Now();
--- a/lib/Scheduling/SchedulerPlacement.cpp
+++ b/lib/Scheduling/SchedulerPlacement.cpp
@@ -219,6 +219,19 @@
   return valid ? &ticket->second : nullptr;
 }
 
+bool Scheduler::HasRoomElsewhere(const StepSpec& aSpec,
+                                 const TaskName& aStep) const
+{
+  return std::any_of(
+    targets_.begin(), targets_.end(), [&](const auto& aEntry) {
+      const TargetState& target = aEntry.second;
+      return MayUse(target) && aSpec.each_.FitsInto(target.Free()) &&
+             (aSpec.label_.empty() || target.HasLabel(aSpec.label_)) &&
+             (aSpec.maxPerTarget_ == 0 ||
+              RunsOfStep(target, aStep) < aSpec.maxPerTarget_);
+    });
+}
+
 static bool HasKind(const TargetState& aTarget, bool RunState::*aKind)
 {
   return std::any_of(
@@ -274,6 +287,11 @@
       cost += HasKind(target, &RunState::serves_) ? 1e3 : 0;
       cost -= static_cast<double>(free.cpu_) /
               static_cast<double>(target.info_.capacity_.cpu_ + 1);
+    } else if (spec.lasting_ && !serves) {
+      // Together on few targets, so that the others can change their pool.
+      cost += HasKind(target, &RunState::lasting_) ? 0 : 10;
+      cost += static_cast<double>(free.cpu_) /
+              static_cast<double>(target.info_.capacity_.cpu_ + 1);
     } else if (serves) {
       cost += HasKind(target, &RunState::fills_) ? 1e3 : 0;
       cost += HasKind(target, &RunState::serves_) ? 1e2 : 0;
@@ -434,6 +452,7 @@
   RunState run;
   run.takes_ = spec.each_;
   run.fills_ = spec.fills_;
+  run.lasting_ = spec.lasting_;
   run.serves_ = spec.lasting_ && spec.latencyTarget_ > Millis(0);
   run.latencyTarget_ = spec.latencyTarget_;
   bool far = !spec.dataRack_.empty() && aTarget.Rack() != spec.dataRack_;
