--- a/include/coltsfootshed/Jobs/Job.h
+++ b/include/coltsfootshed/Jobs/Job.h
@@ -109,6 +109,7 @@
   ChangeNumber changed_ = 0;
   ChangeNumber saved_ = 0;
   Revision progressRevision_ = 0;
+  Revision created_ = 0; ///< at which the store accepted the job
   /// Highest run number that this scheduler gave or saw.
   RunNumber highestRun_ = 0;
 
@@ -120,7 +121,7 @@
   Millis acceptedAt_;
   JobState state_ = JobState::Queued;
   bool ended_ = false;
-  int created_ = 0;  ///< occurrences created so far
+  int begun_ = 0;    ///< occurrences created so far
   int finished_ = 0; ///< occurrences done and forgotten
   std::map<int, Occurrence> occurrences_;
 };
--- a/include/coltsfootshed/Node/JobsNode.h
+++ b/include/coltsfootshed/Node/JobsNode.h
@@ -7,6 +7,7 @@
 #include "coltsfootshed/Node/JobDesk.h"
 #include "coltsfootshed/Node/NodeSettings.h"
 #include "coltsfootshed/Node/PoolManager.h"
+#include "coltsfootshed/Node/StoreWitness.h"
 #include "coltsfootshed/Node/TargetRegistry.h"
 
 namespace coltsfootshed {
@@ -44,6 +45,7 @@
   void OnDuty(const std::string& aDuty, Revision aRevision);
   void StartRegistry();
   ServiceLeader* FindLeader(std::string_view aService);
+  void ServePeer(const std::shared_ptr<ServerExchange>& aExchange);
   bool IsReady() const;
   void CheckStopped();
 
@@ -55,6 +57,7 @@
   std::unique_ptr<TargetRegistry> registry_;
   LeaderTable table_;
   LeaderLinks links_;
+  StoreWitness witness_;
   JobDesk desk_;
   std::map<std::int64_t, WaveConfig> waves_;
   std::unique_ptr<PoolManager> pools_;
--- a/include/coltsfootshed/Node/LeaderLinks.h
+++ b/include/coltsfootshed/Node/LeaderLinks.h
@@ -25,7 +25,7 @@
               FindLocal aFindLocal);
 
   /// Tells a leader of work that is in the store already; may get lost.
-  void AnnounceJob(const JobRecord& aRecord);
+  void AnnounceJob(const JobRecord& aRecord, Revision aCreated);
   void AnnounceCancel(const std::string& aService, const std::string& aJob);
   void AskState(const std::string& aService,
                 const std::string& aJob,
--- a/include/coltsfootshed/Node/LeaderTable.h
+++ b/include/coltsfootshed/Node/LeaderTable.h
@@ -17,6 +17,7 @@
 {
   std::string node_;
   Revision revision_ = 0; ///< of the leader's key: the fence of its orders
+  LeaseId lease_ = 0;     ///< under which the key lies
 };
 
 class LeaderTable final : private PrefixListener
@@ -43,12 +44,18 @@
   /// Where a duty is led, or null.
   const Leadership* LeaderOf(std::string_view aDuty) const;
   std::optional<Endpoint> PeersOf(std::string_view aNode) const;
+  /// All entry VMs that are known, and where each serves others.
+  std::vector<std::pair<std::string, Endpoint>> Members() const;
+  /// False once the store has said that this VM's lease is gone.
+  bool HasLease() const { return lease_ != 0; }
   /// Gives up all duties and the membership; aOnEnd runs when the store has
   /// answered or cannot.
   void Leave(std::function<void()> aOnEnd);
   bool IsMember() const { return lease_ != 0; }
   /// Age of the last answer of the store to this VM's own calls.
   Millis StoreAge() const { return clock_.Now() - lastKept_; }
+  /// True if the lease, and with it every leadership, cannot have ended.
+  bool IsConfirmed() const;
   /// Drops a duty that another holds with a higher fence.
   void Abandon(const std::string& aDuty);
 
@@ -63,6 +70,7 @@
   void OnEvent(const StoreEvent& aEvent) override;
   void Apply(const StoreItem& aItem);
   void Remove(std::string_view aKey);
+  void EndEarlierLife(LeaseId aLease);
   void UpdateDuty(const std::string& aDuty);
   void KeepAlive();
   void Register();
@@ -78,6 +86,7 @@
   Timer keepTimer_;
   Timer campaignTimer_;
   LeaseId lease_ = 0;
+  std::set<LeaseId> ownLeases_; ///< of this process, also ended ones
   bool registered_ = false;
   Millis registeredAt_{ 0 };
   Millis lastKept_{ 0 };
--- a/include/coltsfootshed/Node/ServiceLeader.h
+++ b/include/coltsfootshed/Node/ServiceLeader.h
@@ -39,10 +39,12 @@
   ServiceLeader(const ServiceLeader&) = delete;
   ServiceLeader& operator=(const ServiceLeader&) = delete;
 
-  void AddJob(JobRecord aRecord);
+  /// aCreated: revision at which the store accepted it.
+  void AddJob(JobRecord aRecord, Revision aCreated);
   void CancelJob(std::string_view aJob);
   void RegisterTarget(const TargetInfo& aTarget);
   void UnregisterTarget(const std::string& aId);
+  void SetAuthority(Authority aAuthority);
   void SetVacating(std::span<const std::string> aTargets);
 
   /// True once the saved state is loaded.
--- a/include/coltsfootshed/Pools/PoolPlanner.h
+++ b/include/coltsfootshed/Pools/PoolPlanner.h
@@ -128,8 +128,9 @@
   void PlanWave(Wave& aWave, std::vector<PoolOrder>& aOrders);
   int DownFor(const Wave& aWave) const;
   void PlanMoves();
-  void PlanTake(const std::string& aService, int aMissing);
-  void PlanGive(const std::string& aService, int aSurplus);
+  void LogPool(const Report& aReport, int aMissing);
+  int PlanTake(const std::string& aFrom, const std::string& aTo, int aMost);
+  Resources VmSize(std::string_view aPool) const;
   void OrderEmptied(std::vector<PoolOrder>& aOrders);
   bool IsEmptied(const PoolVm& aVm) const;
 
@@ -141,9 +142,12 @@
   std::map<std::string, Plan, std::less<>> plans_; ///< by VM
   std::map<std::int64_t, Wave> waves_;
   std::map<std::string, Millis> surplusSince_;  ///< by service
+  std::map<std::string, Millis> loggedAt_;      ///< by service
   std::map<std::string, Millis> notBefore_;     ///< by VM, after a refusal
   std::set<std::pair<std::string, std::string>> impossible_; ///< VM, pool
   std::map<std::string, std::pair<std::string, Millis>> movedTo_; ///< by VM
+  /// Targets whose VM was moved or maintained: their service, and when.
+  std::map<std::string, std::pair<std::string, Millis>> left_;
   std::uint64_t waveChanges_ = 0;
 };
 
--- a/include/coltsfootshed/Scheduling/Scheduler.h
+++ b/include/coltsfootshed/Scheduling/Scheduler.h
@@ -25,10 +25,21 @@
   /// Longest lease that any scheduler of this version grants; also what a new
   /// scheduler waits for where a target does not answer.
   Millis lease_{ 5000 };
+  /// Granted while it is not certain that this scheduler still leads; shorter,
+  /// so that a successor's wait covers grants that overlap its take-over.
+  Millis unconfirmedLease_{ 3000 };
   Millis stopTime_{ 1000 };   ///< a stop takes at most this long
   double farFactor_ = 1;      ///< slowdown away from the data
 };
 
+/// How certain a scheduler can be that it has not been replaced.
+enum class Authority
+{
+  Confirmed, ///< its lease in the store cannot have ended
+  StoreAway, ///< nobody reaches the store, so nobody can have replaced it
+  Doubtful   ///< it may have been replaced
+};
+
 struct TargetHold
 {
   std::string target_;
@@ -95,8 +106,11 @@
             const Clock& aTimeOfDay,
             SchedulerSettings aSettings);
 
+  void SetAuthority(Authority aAuthority);
+
   // What is known of jobs.
-  void AddJob(JobRecord aRecord);
+  /// aCreated: revision at which the store accepted it.
+  void AddJob(JobRecord aRecord, Revision aCreated);
   void LoadProgress(std::string_view aJob,
                     std::string_view aProgress,
                     Revision aRevision);
@@ -175,6 +189,7 @@
   };
 
   Job* FindJob(std::string_view aId);
+  Millis LeaseToGrant() const;
   void CountArrival(const Job& aJob, Millis aAge);
   static void AddWaiting(const Job& aJob, PoolReport& aReport);
   ChangeNumber Touch(Job& aJob);
@@ -245,6 +260,7 @@
   bool ready_ = false;
   bool dirty_ = true;
   bool abdicated_ = false;
+  Authority authority_ = Authority::Confirmed;
   Millis nextDue_{ 0 };
   ChangeNumber change_ = 0;
   RunNumber nextRun_;
--- a/lib/Jobs/Job.cpp
+++ b/lib/Jobs/Job.cpp
@@ -50,7 +50,7 @@
 {
   if (!IsTimed()) {
     occurrences_.emplace(0, NewOccurrence(0));
-    created_ = 1;
+    begun_ = 1;
   }
 }
 
@@ -76,10 +76,10 @@
 {
   bool any = false;
   const JobSpec& spec = record_.spec_;
-  while (!ended_ && IsTimed() && created_ < spec.occurrences_ &&
-         aTimeOfDay >= spec.firstDue_ + created_ * spec.interval_) {
-    occurrences_.emplace(created_, NewOccurrence(created_));
-    ++created_;
+  while (!ended_ && IsTimed() && begun_ < spec.occurrences_ &&
+         aTimeOfDay >= spec.firstDue_ + begun_ * spec.interval_) {
+    occurrences_.emplace(begun_, NewOccurrence(begun_));
+    ++begun_;
     any = true;
   }
   return any;
@@ -200,7 +200,7 @@
 {
   Json progress = { { "service", record_.service_ },
                     { "state", NameOf(state_) },
-                    { "created", created_ },
+                    { "created", begun_ },
                     { "finished", finished_ } };
   Json occurrences = Json::array();
   if (!ended_) {
@@ -239,7 +239,7 @@
     if (!state) {
       return false;
     }
-    created_ = json.at("created");
+    begun_ = json.at("created");
     finished_ = json.at("finished");
     occurrences_.clear();
     for (const Json& row : json.at("occurrences")) {
--- a/lib/Node/JobDesk.cpp
+++ b/lib/Node/JobDesk.cpp
@@ -123,7 +123,7 @@
         aExchange->Reply(Unavailable());
       }
       if (accepted) {
-        links_.AnnounceJob(record);
+        links_.AnnounceJob(record, aResult.revision_);
       }
     });
 }
--- a/lib/Node/JobsNode.cpp
+++ b/lib/Node/JobsNode.cpp
@@ -49,6 +49,15 @@
            with_.clock_,
            table_,
            [this](std::string_view aService) { return FindLeader(aService); })
+  , witness_(with_.base_,
+             with_.clock_,
+             table_,
+             settings_.node_,
+             [this](Authority aAuthority) {
+               for (auto& [service, leader] : leaders_) {
+                 leader->SetAuthority(aAuthority);
+               }
+             })
   , desk_(with_.timeOfDay_, with_.store_, links_, format_)
   , front_(with_.base_,
            {},
@@ -63,7 +72,7 @@
   , peers_(with_.base_,
            {},
            [this](const std::shared_ptr<ServerExchange>& aExchange) {
-             links_.Serve(aExchange);
+             ServePeer(aExchange);
            })
   , operator_(with_.base_,
               with_.clock_,
@@ -260,6 +269,18 @@
     SeedOf(settings_.node_));
 }
 
+void JobsNode::ServePeer(const std::shared_ptr<ServerExchange>& aExchange)
+{
+  if (PathOf(aExchange->Request().target_) == StoreWitness::kPath) {
+    aExchange->Reply({ 200,
+                       {},
+                       witness_.ReachesStore() ? StoreWitness::kYes
+                                               : StoreWitness::kNo });
+    return;
+  }
+  links_.Serve(aExchange);
+}
+
 bool JobsNode::IsReady() const
 {
   return !stopping_ && config_ != nullptr && table_.IsMember() &&
--- a/lib/Node/LeaderLinks.cpp
+++ b/lib/Node/LeaderLinks.cpp
@@ -62,14 +62,19 @@
     });
 }
 
-void LeaderLinks::AnnounceJob(const JobRecord& aRecord)
+void LeaderLinks::AnnounceJob(const JobRecord& aRecord, Revision aCreated)
 {
   if (ServiceLeader* local = findLocal_(aRecord.service_)) {
-    local->AddJob(aRecord);
+    if (table_.IsConfirmed()) {
+      local->AddJob(aRecord, aCreated);
+    }
     return;
   }
   Call(aRecord.service_,
-       { "POST", kJobPath, {}, EncodeRecord(aRecord) },
+       { "POST",
+         std::string(kJobPath) + "?created=" + std::to_string(aCreated),
+         {},
+         EncodeRecord(aRecord) },
        [id = aRecord.id_](const Result<HttpAnswer>& aAnswer) {
          if (!aAnswer) {
            LogDecision("job-not-announced",
@@ -214,10 +219,16 @@
       return { 400, {}, record.error().Text() };
     }
     ServiceLeader* local = findLocal_(record->service_);
-    if (local == nullptr) {
+    std::string created = QueryValue(aRequest.target_, "created");
+    Revision revision = 0;
+    std::from_chars(
+      created.data(), created.data() + created.size(), revision);
+    // A leader that may have been replaced takes no new jobs: its successor
+    // starts them without asking where else they might run.
+    if (local == nullptr || !table_.IsConfirmed()) {
       return { kNotLeader, {}, {} };
     }
-    local->AddJob(std::move(*record));
+    local->AddJob(std::move(*record), revision);
     return { kOk, {}, {} };
   }
   std::string job = QueryValue(aRequest.target_, "job");
--- a/lib/Node/LeaderTable.cpp
+++ b/lib/Node/LeaderTable.cpp
@@ -13,6 +13,8 @@
 
 /// Lease of the membership: a dead leader is replaced after this long.
 static constexpr Millis kLease{ 2000 };
+/// Clocks and scheduling delays.
+static constexpr Millis kLeaseMargin{ 200 };
 /// Renewals; three fit into a lease.
 static constexpr Millis kKeepPause{ 600 };
 static constexpr Millis kFirstRetry{ 50 };
@@ -68,20 +70,33 @@
   return found->second.peers_;
 }
 
+std::vector<std::pair<std::string, Endpoint>> LeaderTable::Members() const
+{
+  std::vector<std::pair<std::string, Endpoint>> members;
+  for (const auto& [name, member] : members_) {
+    members.emplace_back(name, member.peers_);
+  }
+  return members;
+}
+
 void LeaderTable::KeepAlive()
 {
   if (leaving_) {
     return;
   }
+  // The lease runs from the call's arrival, so at least from its sending.
+  Millis sentAt = clock_.Now();
   if (lease_ == 0) {
     store_.GrantLease(
-      std::max(kLease, options_.leastLease_), [this](Result<LeaseId> aLease) {
+      std::max(kLease, options_.leastLease_),
+      [this, sentAt](Result<LeaseId> aLease) {
         if (!aLease) {
           keepTimer_.Start(backoff_.Next());
           return;
         }
         lease_ = *aLease;
-        lastKept_ = clock_.Now();
+        ownLeases_.insert(lease_);
+        lastKept_ = sentAt;
         registered_ = false;
         Register();
       });
@@ -91,7 +106,7 @@
     Register();
     return;
   }
-  store_.KeepLease(lease_, [this](KeepEnd aEnd) {
+  store_.KeepLease(lease_, [this, sentAt](KeepEnd aEnd) {
     if (aEnd == KeepEnd::Gone) {
       LogBelief("membership-lost",
                 { { "lease", std::to_string(lease_) },
@@ -102,7 +117,7 @@
       return;
     }
     if (aEnd == KeepEnd::Kept) {
-      lastKept_ = clock_.Now();
+      lastKept_ = sentAt;
       backoff_.Reset();
     }
     keepTimer_.Start(aEnd == KeepEnd::Kept ? kKeepPause : backoff_.Next());
@@ -120,7 +135,6 @@
     if (aResult.end_ == CommitEnd::Committed) {
       registered_ = true;
       registeredAt_ = clock_.Now();
-      lastKept_ = clock_.Now();
       backoff_.Reset();
       LogBelief("membership", { { "lease", std::to_string(lease_) } });
       keepTimer_.Start(kKeepPause);
@@ -231,7 +245,10 @@
   }
   std::string duty(keys::After(aItem.key_, keys::kLeaderPrefix));
   if (!duty.empty()) {
-    leaders_[duty] = { aItem.value_, aItem.revision_ };
+    leaders_[duty] = { aItem.value_, aItem.revision_, aItem.lease_ };
+    if (aItem.value_ == options_.node_) {
+      EndEarlierLife(aItem.lease_);
+    }
     UpdateDuty(duty);
   }
 }
@@ -246,10 +263,25 @@
   }
 }
 
+/// The process that held the lease has ended, as this one has its name: its
+/// duties need not wait for the lease to run out.
+void LeaderTable::EndEarlierLife(LeaseId aLease)
+{
+  if (aLease == 0 || ownLeases_.count(aLease) > 0) {
+    return;
+  }
+  LogBelief("earlier-life", { { "lease", std::to_string(aLease) } });
+  store_.EndLease(aLease, [] {});
+}
+
 void LeaderTable::UpdateDuty(const std::string& aDuty)
 {
   auto found = leaders_.find(aDuty);
-  bool mine = found != leaders_.end() && found->second.node_ == options_.node_;
+  // A key that an earlier process of this VM left is not this one's: its run
+  // numbers would be given twice.
+  bool mine = found != leaders_.end() &&
+              found->second.node_ == options_.node_ &&
+              ownLeases_.count(found->second.lease_) > 0;
   Revision revision = mine ? found->second.revision_ : 0;
   auto abandoned = abandoned_.find(aDuty);
   if (abandoned != abandoned_.end() && abandoned->second == revision) {
@@ -273,6 +305,11 @@
   }
 }
 
+bool LeaderTable::IsConfirmed() const
+{
+  return lease_ != 0 && StoreAge() < kLease - kLeaseMargin;
+}
+
 void LeaderTable::Abandon(const std::string& aDuty)
 {
   abandoned_[aDuty] = led_[aDuty];
--- a/lib/Node/ServiceLeader.cpp
+++ b/lib/Node/ServiceLeader.cpp
@@ -51,19 +51,24 @@
   return targets;
 }
 
+static SchedulerSettings SettingsFor(const ServiceLeader::Options& aOptions)
+{
+  SchedulerSettings settings;
+  settings.service_ = aOptions.service_;
+  settings.fence_ = aOptions.fence_;
+  settings.lease_ = aOptions.lease_;
+  settings.stopTime_ = aOptions.stopTime_;
+  settings.farFactor_ = aOptions.farFactor_;
+  return settings;
+}
+
 ServiceLeader::ServiceLeader(Dependencies aDependencies,
                              Options aOptions,
                              std::function<void()> aOnAbdicate)
   : with_(aDependencies)
   , options_(std::move(aOptions))
   , onAbdicate_(std::move(aOnAbdicate))
-  , scheduler_(with_.clock_,
-               with_.timeOfDay_,
-               { options_.service_,
-                 options_.fence_,
-                 options_.lease_,
-                 options_.stopTime_,
-                 options_.farFactor_ })
+  , scheduler_(with_.clock_, with_.timeOfDay_, SettingsFor(options_))
   , runTimer_(with_.base_, [this] { Run(); })
   , retryTimer_(with_.base_, [this] { std::exchange(retryStep_, nullptr)(); })
   , collectTimer_(with_.base_, [this] { Collect(); })
@@ -194,14 +199,14 @@
               { { "key", aItem.key_ }, { "error", record.error().Text() } });
     return;
   }
-  scheduler_.AddJob(std::move(*record));
+  scheduler_.AddJob(std::move(*record), aItem.created_);
 }
 
-void ServiceLeader::AddJob(JobRecord aRecord)
+void ServiceLeader::AddJob(JobRecord aRecord, Revision aCreated)
 {
   // Until the saved state is loaded, the store's list brings the job.
   if (loaded_) {
-    scheduler_.AddJob(std::move(aRecord));
+    scheduler_.AddJob(std::move(aRecord), aCreated);
     Kick();
   }
 }
@@ -226,6 +231,12 @@
   Kick();
 }
 
+void ServiceLeader::SetAuthority(Authority aAuthority)
+{
+  scheduler_.SetAuthority(aAuthority);
+  Kick();
+}
+
 void ServiceLeader::SetVacating(std::span<const std::string> aTargets)
 {
   scheduler_.SetVacating(aTargets);
--- a/lib/Pools/PoolPlanner.cpp
+++ b/lib/Pools/PoolPlanner.cpp
@@ -25,6 +25,14 @@
 static constexpr Millis kRefusedPause{ 500 };
 /// The list may lag behind an order by this much.
 static constexpr Millis kListLag{ 2500 };
+/// A target's registry entry is gone at the latest this long after its VM was
+/// moved: three heartbeats and the registry's own delay.
+static constexpr Millis kLeftTarget{ 10000 };
+/// A VM that was moved into the spare pool can be moved again after this, as
+/// the platform says; the list may say so later.
+static constexpr Millis kMoveTime{ 1600 };
+/// Pause between log lines on one pool.
+static constexpr Millis kLogPause{ 1000 };
 /// Share of a pool's VMs that a wave may empty at once.
 static constexpr double kWaveShare = 0.25;
 
@@ -106,7 +114,8 @@
     auto moved = movedTo_.find(vm.vm_);
     // An order that the list does not show yet stands.
     if (moved != movedTo_.end()) {
-      bool shown = vm.pool_ == moved->second.first ||
+      bool shown = (vm.pool_ == moved->second.first &&
+                    vm.phase_ == VmPhase::Up) ||
                    now - moved->second.second > kListLag;
       if (shown) {
         movedTo_.erase(moved);
@@ -117,6 +126,9 @@
     }
     vms_.emplace(vm.vm_, vm);
   }
+  std::erase_if(left_, [&](const auto& aEntry) {
+    return now - aEntry.second.second > kLeftTarget;
+  });
   std::erase_if(plans_,
                 [this](const auto& aEntry) { return !FindVm(aEntry.first); });
 }
@@ -191,8 +203,11 @@
 /// True if nothing is planned for a VM and it can be ordered.
 bool PoolPlanner::IsFree(const PoolVm& aVm) const
 {
+  auto moved = movedTo_.find(aVm.vm_);
+  bool arrived = moved != movedTo_.end() && IsSpare(aVm.pool_) &&
+                 clock_.Now() - moved->second.second >= kMoveTime;
   auto wait = notBefore_.find(aVm.vm_);
-  return aVm.phase_ == VmPhase::Up && plans_.count(aVm.vm_) == 0 &&
+  return (aVm.phase_ == VmPhase::Up || arrived) && plans_.count(aVm.vm_) == 0 &&
          (wait == notBefore_.end() || wait->second <= clock_.Now());
 }
 
@@ -306,67 +321,106 @@
     return;
   }
   Millis now = clock_.Now();
+  std::map<std::string, int> missing; ///< by service; negative: surplus
   for (const std::string& service : services_) {
     const Report* report = FreshReport(service);
     if (report == nullptr) {
       continue;
     }
-    Resources size = vms_.begin()->second.capacity_;
-    for (const auto& [name, vm] : vms_) {
-      if (vm.pool_ == service) {
-        size = vm.capacity_;
-      }
+    missing[service] =
+      Needed(report->content_, VmSize(service)) - Count(service);
+    LogPool(*report, missing[service]);
+  }
+  for (auto& [service, count] : missing) {
+    if (count > 0) {
+      surplusSince_.erase(service);
+      count -= PlanTake(spare_, service, count);
     }
-    int missing = Needed(report->content_, size) - Count(service);
-    if (missing >= 0) {
+  }
+  for (auto& [service, count] : missing) {
+    if (count >= 0) {
       surplusSince_.erase(service);
+      continue;
     }
-    if (missing > 0) {
-      PlanTake(service, missing);
-    } else if (missing < 0) {
-      Millis since = surplusSince_.try_emplace(service, now).first->second;
-      if (now - since >= kKeepSurplus) {
-        PlanGive(service, -missing);
+    // What another pool waits for goes there at once.
+    for (auto& [taker, lacks] : missing) {
+      if (lacks > 0 && count < 0) {
+        int moved = PlanTake(service, taker, std::min(lacks, -count));
+        lacks -= moved;
+        count += moved;
       }
     }
+    Millis since = surplusSince_.try_emplace(service, now).first->second;
+    if (count < 0 && now - since >= kKeepSurplus) {
+      PlanTake(service, spare_, -count);
+    }
   }
 }
 
-void PoolPlanner::PlanTake(const std::string& aService, int aMissing)
+/// The size of VMs in a pool, or of any VM if it has none.
+Resources PoolPlanner::VmSize(std::string_view aPool) const
 {
   for (const auto& [name, vm] : vms_) {
-    if (aMissing == 0) {
-      return;
-    }
-    if (IsSpare(vm.pool_) && IsFree(vm) &&
-        impossible_.count({ name, aService }) == 0) {
-      plans_[name] = Plan{ Intent::Move, aService, 0, clock_.Now() };
-      --aMissing;
+    if (vm.pool_ == aPool) {
+      return vm.capacity_;
     }
   }
+  return vms_.begin()->second.capacity_;
+}
+
+/// One line a second and pool: what moves are decided from.
+void PoolPlanner::LogPool(const Report& aReport, int aMissing)
+{
+  Millis now = clock_.Now();
+  const PoolReport& content = aReport.content_;
+  Millis& last = loggedAt_[content.service_];
+  if (now - last < kLogPause) {
+    return;
+  }
+  last = now;
+  LogBelief("pool",
+            { { "service", content.service_ },
+              { "vms", std::to_string(Count(content.service_)) },
+              { "missing", std::to_string(aMissing) },
+              { "targets", std::to_string(content.targets_.size()) },
+              { "used_cpu", std::to_string(content.used_.cpu_) },
+              { "waiting_cpu", std::to_string(content.waiting_.cpu_) },
+              { "waiting_mib", std::to_string(content.waiting_.memory_) },
+              { "arriving_cpu",
+                std::to_string(static_cast<int>(content.arrivingCpu_)) },
+              { "spare", std::to_string(Count(spare_)) },
+              { "age_ms", std::to_string((now - aReport.at_).count()) } });
 }
 
-void PoolPlanner::PlanGive(const std::string& aService, int aSurplus)
+/// Plans up to aMost moves between two pools, of the VMs that are emptied
+/// soonest; returns how many.
+int PoolPlanner::PlanTake(const std::string& aFrom,
+                          const std::string& aTo,
+                          int aMost)
 {
-  std::vector<std::pair<int, const PoolVm*>> idle;
+  std::vector<std::pair<int, std::string>> movable;
   for (const auto& [name, vm] : vms_) {
-    const TargetUse* use =
-      vm.pool_ == aService && IsFree(vm) ? UseOf(vm) : nullptr;
-    if (use != nullptr && use->lasting_ == 0 &&
-        impossible_.count({ name, spare_ }) == 0) {
-      idle.emplace_back(use->runs_, &vm);
+    if (vm.pool_ != aFrom || !IsFree(vm) ||
+        impossible_.count({ name, aTo }) > 0) {
+      continue;
+    }
+    const TargetUse* use = UseOf(vm);
+    if (IsSpare(aFrom)) {
+      movable.emplace_back(0, name);
+    } else if (use != nullptr && use->lasting_ == 0) {
+      movable.emplace_back(use->runs_, name);
     }
   }
-  std::stable_sort(idle.begin(), idle.end(), [](const auto& l, const auto& r) {
-    return l.first < r.first;
-  });
-  for (const auto& [runs, vm] : idle) {
-    if (aSurplus == 0) {
-      return;
+  std::sort(movable.begin(), movable.end());
+  int planned = 0;
+  for (const auto& [runs, name] : movable) {
+    if (planned == aMost) {
+      break;
     }
-    plans_[vm->vm_] = Plan{ Intent::Move, spare_, 0, clock_.Now() };
-    --aSurplus;
+    plans_[name] = Plan{ Intent::Move, aTo, 0, clock_.Now() };
+    ++planned;
   }
+  return planned;
 }
 
 bool PoolPlanner::IsEmptied(const PoolVm& aVm) const
@@ -435,6 +489,10 @@
   auto vm = vms_.find(aVm);
   if (plan.intent_ == Intent::Move) {
     movedTo_[aVm] = { plan.pool_, now };
+    if (vm != vms_.end()) {
+      // Its registry entry outlives it; it must get no starts.
+      left_[vm->second.target_] = { vm->second.pool_, now };
+    }
     if (vm != vms_.end()) {
       vm->second.pool_ = plan.pool_;
       vm->second.phase_ = VmPhase::Moving;
@@ -448,6 +506,7 @@
     ++waveChanges_;
   }
   if (vm != vms_.end()) {
+    left_[vm->second.target_] = { vm->second.pool_, now };
     vm->second.phase_ = VmPhase::Maintained;
   }
 }
@@ -470,6 +529,11 @@
       targets.push_back(vm->target_);
     }
   }
+  for (const auto& [target, from] : left_) {
+    if (from.first == aService) {
+      targets.push_back(target);
+    }
+  }
   return targets;
 }
 
--- a/lib/Scheduling/Scheduler.cpp
+++ b/lib/Scheduling/Scheduler.cpp
@@ -31,6 +31,27 @@
 {
 }
 
+void Scheduler::SetAuthority(Authority aAuthority)
+{
+  if (authority_ == aAuthority) {
+    return;
+  }
+  LogBelief("authority",
+            { { "service", settings_.service_ },
+              { "fence", std::to_string(settings_.fence_) },
+              { "authority",
+                std::to_string(static_cast<int>(aAuthority)) } });
+  authority_ = aAuthority;
+  MayAct();
+}
+
+Millis Scheduler::LeaseToGrant() const
+{
+  return authority_ == Authority::Confirmed
+           ? settings_.lease_
+           : std::min(settings_.lease_, settings_.unconfirmedLease_);
+}
+
 Job* Scheduler::FindJob(std::string_view aId)
 {
   auto found = jobs_.find(aId);
@@ -45,7 +66,7 @@
   return aJob.changed_;
 }
 
-void Scheduler::AddJob(JobRecord aRecord)
+void Scheduler::AddJob(JobRecord aRecord, Revision aCreated)
 {
   if (aRecord.service_ != settings_.service_ ||
       FindJob(aRecord.id_) != nullptr) {
@@ -59,6 +80,7 @@
                 { "age_ms", std::to_string(age.count()) },
                 { "steps", std::to_string(aRecord.spec_.steps_.size()) } });
   auto job = std::make_unique<Job>(std::move(aRecord), clock_.Now(), age);
+  job->created_ = aCreated;
   CountArrival(*job, age);
   jobs_.emplace(id, std::move(job));
   MayAct();
@@ -236,13 +258,17 @@
   if (abdicated_) {
     return orders;
   }
+  // Without certainty another scheduler may have renewed what looks lapsed.
+  bool certain = authority_ == Authority::Confirmed;
   nextDue_ = clock_.Now() + kLongestPause;
-  DropLapsed();
-  CheckReady();
+  if (certain) {
+    DropLapsed();
+    CheckReady();
+  }
   DecideEvacuations();
   DecideStops(orders);
   DecidePace(orders);
-  if (dirty_ && ready_) {
+  if (dirty_ && authority_ != Authority::Doubtful) {
     dirty_ = false;
     DecideStarts(orders);
   }
@@ -317,7 +343,9 @@
   SaveRoster roster;
   rosterSent_.clear();
   for (const auto& [id, target] : targets_) {
-    if (target.registered_ || !target.runs_.empty() || !target.held_) {
+    bool needed = target.registered_ || !target.runs_.empty() ||
+                  (target.held_ ? !target.HasLapsed(clock_.Now()) : !ready_);
+    if (needed) {
       roster.targets_.push_back(target.info_);
       rosterSent_.push_back(id);
     }
--- a/lib/Scheduling/SchedulerHolds.cpp
+++ b/lib/Scheduling/SchedulerHolds.cpp
@@ -12,6 +12,8 @@
 /// Where tasks that fill run beside tasks that serve, their tails are read
 /// this often.
 static constexpr Millis kTailWait{ 500 };
+/// Holds without an answer that still renew the lease.
+static constexpr int kRenewals = 2;
 /// Looks at a target on which nothing runs; each is priced.
 static constexpr Millis kIdlePause{ 3000 };
 /// Pause after a hold without an answer.
@@ -100,8 +102,8 @@
 {
   Millis now = clock_.Now();
   for (auto& [id, target] : targets_) {
-    bool matters =
-      target.registered_ || !target.runs_.empty() || !target.held_;
+    bool matters = target.registered_ || !target.runs_.empty() ||
+                   (target.inRoster_ && !target.held_ && !ready_);
     if (target.holdInFlight_ || !matters) {
       continue;
     }
@@ -135,10 +137,13 @@
   if (aTarget.runs_.empty()) {
     return hold;
   }
-  if (aTarget.clockRead_ != 0) {
-    hold.leaseUntil_ = aTarget.LeaseEnd(clock_.Now(), settings_.lease_);
-    aTarget.leaseGranted_ =
-      std::max(aTarget.leaseGranted_, *hold.leaseUntil_);
+  // The lease of a target that stays silent is left to run out, as its tasks
+  // can only start elsewhere after that.
+  bool renews = aTarget.clockRead_ != 0 && aTarget.failedHolds_ < kRenewals &&
+                authority_ != Authority::Doubtful;
+  if (renews) {
+    hold.leaseUntil_ = aTarget.LeaseEnd(clock_.Now(), LeaseToGrant());
+    aTarget.leaseOffered_ = *hold.leaseUntil_;
   }
   bool mayWait = aTarget.unsaved_.empty() && aTarget.failedHolds_ == 0 &&
                  aTarget.held_;
@@ -164,6 +169,10 @@
   }
   TargetState& target = found->second;
   target.holdInFlight_ = false;
+  TargetClock offered = std::exchange(target.leaseOffered_, 0);
+  if (aAnswer.end_ != OrderEnd::NotSent) {
+    target.leaseGranted_ = std::max(target.leaseGranted_, offered);
+  }
   if (aAnswer.end_ != OrderEnd::Done) {
     OnHoldFailed(target, aAnswer.end_);
     return;
@@ -294,10 +303,13 @@
 {
   Millis now = clock_.Now();
   for (auto& [id, target] : targets_) {
-    if (target.runs_.empty() || !target.held_ || !target.HasLapsed(now)) {
-      continue;
+    bool lapsed = target.held_ && target.HasLapsed(now);
+    if (lapsed && !target.runs_.empty()) {
+      DropRuns(target, "lease lapsed without an answer", now);
     }
-    DropRuns(target, "lease lapsed without an answer", now);
+    // Nothing can be there any more: a new scheduler need not wait for it.
+    rosterStale_ |= !target.registered_ && target.inRoster_ &&
+                    target.runs_.empty() && (target.held_ ? lapsed : ready_);
   }
 }
 
--- a/lib/Scheduling/SchedulerPlacement.cpp
+++ b/lib/Scheduling/SchedulerPlacement.cpp
@@ -134,7 +134,10 @@
   std::vector<ReadyStep> ready;
   Millis timeOfDay = timeOfDay_.Now();
   for (auto& [id, job] : jobs_) {
-    if (job->IsEnded()) {
+    // Before all targets are held, only jobs that no earlier scheduler can
+    // have started: those accepted under this leadership.
+    bool mayStart = ready_ || job->created_ > settings_.fence_;
+    if (job->IsEnded() || !mayStart) {
       continue;
     }
     if (job->CreateDue(timeOfDay)) {
@@ -460,7 +463,7 @@
     static_cast<double>(EstimateOf(spec).count()) *
     (far ? settings_.farFactor_ : 1.0)));
   run.sentAt_ = now;
-  run.leaseUntil_ = aTarget.LeaseEnd(now, settings_.lease_);
+  run.leaseUntil_ = aTarget.LeaseEnd(now, LeaseToGrant());
   aTarget.leaseGranted_ = std::max(aTarget.leaseGranted_, run.leaseUntil_);
   StartOrder order{ name, aRun,
                     record.spec_.payload_, run.leaseUntil_,
--- a/lib/Scheduling/TargetState.cpp
+++ b/lib/Scheduling/TargetState.cpp
@@ -63,7 +63,7 @@
 
 bool TargetState::HasLapsed(Millis aNow) const
 {
-  return EarliestClock(aNow) > leaseGranted_;
+  return EarliestClock(aNow) > std::max(leaseGranted_, leaseOffered_);
 }
 
 const std::string& TargetState::Rack() const
