Reject at once while the store is away; quicker pools

Change: no write is tried while the store does not answer (503 with Retry-After, true: nothing was written); work arriving is averaged over 500 ms, pools are looked at each 150 ms; the reserve counts within the spread; a VM that registers again does not wait before it campaigns. Ruled out: order of work (waits began before targets had joined).

--- a/include/coltsfootshed/Node/JobDesk.h
+++ b/include/coltsfootshed/Node/JobDesk.h
@@ -13,10 +13,15 @@
 class JobDesk
 {
 public:
-  JobDesk(const Clock& aTimeOfDay,
+  /// Whether the store answered this VM lately.
+  using ReachesStore = std::function<bool()>;
+
+  JobDesk(const Clock& aClock,
+          const Clock& aTimeOfDay,
           KeyValueStore& aStore,
           LeaderLinks& aLinks,
-          const WireFormat& aFormat);
+          const WireFormat& aFormat,
+          ReachesStore aReachesStore);
 
   /// The configuration in force; null until the first one is known.
   void SetConfig(std::shared_ptr<const JobsConfig> aConfig)
@@ -46,10 +51,15 @@
                      const std::string& aJob);
   void ShowWaiting(const Exchange& aExchange, const QueueConfig& aQueue);
 
+  bool MayWrite() const;
+
+  const Clock& clock_;
   const Clock& timeOfDay_;
   KeyValueStore& store_;
   LeaderLinks& links_;
   const WireFormat& format_;
+  ReachesStore reachesStore_;
+  Millis noWriteBefore_{ 0 }; ///< after a write without an answer
   std::shared_ptr<const JobsConfig> config_;
 };
 
--- a/include/coltsfootshed/Node/LeaderTable.h
+++ b/include/coltsfootshed/Node/LeaderTable.h
@@ -8,6 +8,7 @@
 #include "coltsfootshed/Store/PrefixFollower.h"
 
 #include <map>
+#include <optional>
 #include <set>
 
 namespace coltsfootshed {
@@ -88,7 +89,7 @@
   LeaseId lease_ = 0;
   std::set<LeaseId> ownLeases_; ///< of this process, also ended ones
   bool registered_ = false;
-  Millis registeredAt_{ 0 };
+  Millis registeredAt_{ 0 }; ///< for the first time
   Millis lastKept_{ 0 };
   bool leaving_ = false;
   std::set<std::string> duties_;
--- a/lib/Node/JobDesk.cpp
+++ b/lib/Node/JobDesk.cpp
@@ -10,6 +10,9 @@
 /// Seconds after which a client may come back while the store is away.
 static constexpr const char* kRetryAfter = "1";
 
+/// Jobs are rejected this long after a write that got no answer.
+static constexpr Millis kWritePause{ 500 };
+
 static HttpAnswer JsonAnswer(int aCode, std::string aBody)
 {
   return { aCode,
@@ -24,15 +27,26 @@
   return answer;
 }
 
-JobDesk::JobDesk(const Clock& aTimeOfDay,
+JobDesk::JobDesk(const Clock& aClock,
+                 const Clock& aTimeOfDay,
                  KeyValueStore& aStore,
                  LeaderLinks& aLinks,
-                 const WireFormat& aFormat)
-  : timeOfDay_(aTimeOfDay)
+                 const WireFormat& aFormat,
+                 ReachesStore aReachesStore)
+  : clock_(aClock)
+  , timeOfDay_(aTimeOfDay)
   , store_(aStore)
   , links_(aLinks)
   , format_(aFormat)
+  , reachesStore_(std::move(aReachesStore))
+{
+}
+
+/// While the store is away a write would only end without an answer, and its
+/// client could not be told to come back; a rejection can.
+bool JobDesk::MayWrite() const
 {
+  return reachesStore_() && clock_.Now() >= noWriteBefore_;
 }
 
 void JobDesk::Serve(const Exchange& aExchange)
@@ -82,6 +96,15 @@
       400, nlohmann::json{ { "error", spec.error().Text() } }.dump()));
     return;
   }
+  if (!MayWrite()) {
+    LogDecision("job-rejected",
+                { { "job", aJob },
+                  { "queue", aQueue.name_ },
+                  { "reason", "the store is away" } });
+    Count("jobs_rejected_store_away");
+    aExchange->Reply(Unavailable());
+    return;
+  }
   JobRecord record;
   record.id_ = aJob;
   record.queue_ = aQueue.name_;
@@ -116,6 +139,7 @@
                     aExchange->Reply(JsonAnswer(200, "{}"));
                   } else if (unknown) {
                     // It may be stored, now or later: not a rejection.
+                    noWriteBefore_ = clock_.Now() + kWritePause;
                     aExchange->Reply(JsonAnswer(504, "{}"));
                   } else {
                     aExchange->Reply(Unavailable());
--- a/lib/Node/JobsNode.cpp
+++ b/lib/Node/JobsNode.cpp
@@ -58,7 +58,12 @@
                  leader->SetAuthority(aAuthority);
                }
              })
-  , desk_(with_.timeOfDay_, with_.store_, links_, format_)
+  , desk_(with_.clock_,
+          with_.timeOfDay_,
+          with_.store_,
+          links_,
+          format_,
+          [this] { return witness_.ReachesStore(); })
   , front_(with_.base_,
            {},
            [this](const std::shared_ptr<ServerExchange>& aExchange) {
--- a/lib/Node/LeaderTable.cpp
+++ b/lib/Node/LeaderTable.cpp
@@ -133,7 +133,9 @@
   store_.Commit(transaction, [this](CommitResult aResult) {
     if (aResult.end_ == CommitEnd::Committed) {
       registered_ = true;
-      registeredAt_ = clock_.Now();
+      if (registeredAt_ == Millis(0)) {
+        registeredAt_ = clock_.Now();
+      }
       backoff_.Reset();
       LogBelief("membership", { { "lease", std::to_string(lease_) } });
       keepTimer_.Start(kKeepPause);
--- a/lib/Node/PoolManager.cpp
+++ b/lib/Node/PoolManager.cpp
@@ -6,7 +6,7 @@
 namespace coltsfootshed {
 
 /// How often pools are looked at; short against the turns of demand.
-static constexpr Millis kTick{ 250 };
+static constexpr Millis kTick{ 150 };
 /// Pause between lists of all VMs; sooner after an order.
 static constexpr Millis kListPause{ 2000 };
 static constexpr Millis kListAfterOrder{ 500 };
--- a/lib/Node/TargetRegistry.cpp
+++ b/lib/Node/TargetRegistry.cpp
@@ -12,7 +12,7 @@
 static constexpr Millis kSweepPause{ 300 };
 /// Events gather between watches, each of which is priced; well below the time
 /// within which a target that drains must get no more starts.
-static constexpr Millis kWatchPause{ 300 };
+static constexpr Millis kWatchPause{ 200 };
 
 TargetRegistry::TargetRegistry(event_base* aBase,
                                const Clock& aClock,
--- a/lib/Pools/PoolPlanner.cpp
+++ b/lib/Pools/PoolPlanner.cpp
@@ -177,9 +177,8 @@
   double vms = std::max(
     cpu / static_cast<double>(std::max<std::int64_t>(1, aVmSize.cpu_)),
     memory / static_cast<double>(std::max<std::int64_t>(1, aVmSize.memory_)));
-  return std::max(static_cast<int>(std::ceil(vms * kHeadroom)),
-                  aReport.leastVms_) +
-         kReserve;
+  return std::max(static_cast<int>(std::ceil(vms * kHeadroom)) + kReserve,
+                  aReport.leastVms_);
 }
 
 /// VMs that serve a pool or are about to.
--- a/lib/Scheduling/Scheduler.cpp
+++ b/lib/Scheduling/Scheduler.cpp
@@ -13,7 +13,7 @@
 static constexpr Millis kLongestPause{ 1000 };
 /// Span over which arriving work is averaged: short against the seconds for
 /// which one queue asks for several times its mean.
-static constexpr Millis kArrivalWindow{ 1000 };
+static constexpr Millis kArrivalWindow{ 500 };
 /// Lets changes gather into one transaction.
 static constexpr Millis kSaveRetry{ 100 };
 /// Progress entries a transaction; each has a put and a condition, and one
