--- a/include/coltsfootshed/Node/LeaderTable.h
+++ b/include/coltsfootshed/Node/LeaderTable.h
@@ -71,6 +71,7 @@
   void OnEvent(const StoreEvent& aEvent) override;
   void Apply(const StoreItem& aItem);
   void Remove(std::string_view aKey);
+  void LoseLease();
   void EndEarlierLife(LeaseId aLease);
   void UpdateDuty(const std::string& aDuty);
   void KeepAlive();
@@ -87,7 +88,7 @@
   Timer keepTimer_;
   Timer campaignTimer_;
   LeaseId lease_ = 0;
-  std::set<LeaseId> ownLeases_; ///< of this process, also ended ones
+  std::set<LeaseId> ownLeases_; ///< of this process, not known to have ended
   bool registered_ = false;
   Millis registeredAt_{ 0 }; ///< for the first time
   Millis lastKept_{ 0 };
--- a/lib/Node/LeaderTable.cpp
+++ b/lib/Node/LeaderTable.cpp
@@ -107,11 +107,7 @@
   }
   store_.KeepLease(lease_, [this, sentAt](KeepEnd aEnd) {
     if (aEnd == KeepEnd::Gone) {
-      LogBelief("membership-lost",
-                { { "lease", std::to_string(lease_) },
-                  { "kept_ms_ago", std::to_string(StoreAge().count()) } });
-      lease_ = 0;
-      registered_ = false;
+      LoseLease();
       keepTimer_.Start(Millis(0));
       return;
     }
@@ -123,6 +119,24 @@
   });
 }
 
+/// All that was led under the lease is over, whatever the watch shows.
+void LeaderTable::LoseLease()
+{
+  LogBelief("membership-lost",
+            { { "lease", std::to_string(lease_) },
+              { "kept_ms_ago", std::to_string(StoreAge().count()) } });
+  ownLeases_.erase(lease_);
+  lease_ = 0;
+  registered_ = false;
+  std::vector<std::string> duties;
+  for (const auto& [duty, revision] : led_) {
+    duties.push_back(duty);
+  }
+  for (const std::string& duty : duties) {
+    UpdateDuty(duty);
+  }
+}
+
 void LeaderTable::Register()
 {
   Json value = { { "peers", options_.peers_.Text() },
@@ -130,7 +144,7 @@
   Transaction transaction;
   transaction.puts_.push_back(
     { keys::Node(options_.node_), value.dump(), lease_ });
-  store_.Commit(transaction, [this](CommitResult aResult) {
+  store_.Commit(transaction, [this, lease = lease_](CommitResult aResult) {
     if (aResult.end_ == CommitEnd::Committed) {
       registered_ = true;
       if (registeredAt_ == Millis(0)) {
@@ -141,8 +155,8 @@
       keepTimer_.Start(kKeepPause);
       return;
     }
-    if (aResult.end_ == CommitEnd::LeaseGone) {
-      lease_ = 0;
+    if (aResult.end_ == CommitEnd::LeaseGone && lease == lease_) {
+      LoseLease();
     }
     keepTimer_.Start(backoff_.Next());
   });
@@ -201,11 +215,11 @@
   transaction.conditions_.push_back({ keys::Leader(aDuty), 0 });
   transaction.puts_.push_back({ keys::Leader(aDuty), options_.node_, lease_ });
   // The outcome shows in the members' watch, also when no answer comes.
-  store_.Commit(transaction, [this, aDuty](const CommitResult& aResult) {
+  store_.Commit(transaction, [this, aDuty, lease = lease_](
+                               const CommitResult& aResult) {
     campaigning_.erase(aDuty);
-    if (aResult.end_ == CommitEnd::LeaseGone) {
-      lease_ = 0;
-      registered_ = false;
+    if (aResult.end_ == CommitEnd::LeaseGone && lease == lease_) {
+      LoseLease();
     }
   });
 }
--- a/unittests/Scheduling/SchedulerWorld.cpp
+++ b/unittests/Scheduling/SchedulerWorld.cpp
@@ -381,6 +381,16 @@
     }
   }
   replies_ = std::move(kept);
+  std::vector<Call> others;
+  for (Call& call : std::exchange(calls_, {})) {
+    if (call.target_ == target.info_.id_) {
+      ReturnFailure(call, OrderEnd::NoAnswer);
+      late_.push_back(std::move(call));
+    } else {
+      others.push_back(std::move(call));
+    }
+  }
+  calls_ = std::move(others);
   clock_.Advance(kRestart);
   Settle();
   born.bornAt_ = clock_.Now();
