--- a/lib/Node/LeaderLinks.cpp
+++ b/lib/Node/LeaderLinks.cpp
@@ -188,7 +188,7 @@
                           std::function<void(Result<PoolReport>)> aOnAnswer)
 {
   ServiceLeader* local = findLocal_(aService);
-  if (local != nullptr && local->IsLoaded()) {
+  if (local != nullptr && local->IsLoaded() && table_.IsConfirmed()) {
     local->SetVacating(aVacating);
     aOnAnswer(local->State().Report());
     return;
@@ -240,6 +240,10 @@
     return { kOk, {}, {} };
   }
   if (path == kPoolPath) {
+    // A successor may have started what this leader does not know.
+    if (!table_.IsConfirmed()) {
+      return { kNotLeader, {}, {} };
+    }
     local->SetVacating(DecodeIds(aRequest.body_));
     return { kOk, {}, EncodeReport(local->State().Report()) };
   }
--- a/lib/Scheduling/Scheduler.cpp
+++ b/lib/Scheduling/Scheduler.cpp
@@ -199,7 +199,8 @@
   PoolReport report;
   report.service_ = settings_.service_;
   for (const auto& [id, target] : targets_) {
-    if (!target.registered_) {
+    // Before it has answered, what runs on a target is not known.
+    if (!target.registered_ || !target.held_) {
       continue;
     }
     TargetUse use{
