One unanswered start does not close its target; duties are resumed

After all were killed, the pool manager waited 3 s for an earlier holder that was itself. Ruled out: memory of targets (two thirds used).

--- a/include/coltsfootshed/Scheduling/TargetState.h
+++ b/include/coltsfootshed/Scheduling/TargetState.h
@@ -91,6 +91,7 @@
   int failedHolds_ = 0; ///< in a row
   Millis lastAnswerAt_{ 0 };
   Millis avoidUntil_{ 0 }; ///< refused or failed work a moment ago
+  int unansweredStarts_ = 0; ///< in a row
   bool vacating_ = false;  ///< no starts: it is to move or be maintained
   std::deque<std::pair<Millis, std::string>> failures_; ///< time, job
   std::deque<Millis> successes_;
--- a/lib/Node/LeaderTable.cpp
+++ b/lib/Node/LeaderTable.cpp
@@ -70,6 +70,12 @@
   return found->second.peers_;
 }
 
+std::string LeaderTable::PreviousLeader(const std::string& aDuty) const
+{
+  auto found = previousLeader_.find(aDuty);
+  return found == previousLeader_.end() ? std::string() : found->second;
+}
+
 std::vector<std::pair<std::string, Endpoint>> LeaderTable::Members() const
 {
   std::vector<std::pair<std::string, Endpoint>> members;
@@ -176,7 +182,11 @@
     auto counted = led.find(name);
     int count = counted == led.end() ? 0 : counted->second;
     std::string mixed = aDuty + '/' + name;
-    ranked.emplace_back((count + 1) / std::max(member.share_, 0.01),
+    // The last leader knows most, and holds no orders of others back.
+    auto last = lastLeader_.find(aDuty);
+    bool resumes = last != lastLeader_.end() && last->second == name;
+    ranked.emplace_back(resumes ? 0.0
+                                : (count + 1) / std::max(member.share_, 0.01),
                         XXH3_64bits(mixed.data(), mixed.size()),
                         name);
   }
@@ -215,13 +225,13 @@
   transaction.conditions_.push_back({ keys::Leader(aDuty), 0 });
   transaction.puts_.push_back({ keys::Leader(aDuty), options_.node_, lease_ });
   // The outcome shows in the members' watch, also when no answer comes.
-  store_.Commit(transaction, [this, aDuty, lease = lease_](
-                               const CommitResult& aResult) {
-    campaigning_.erase(aDuty);
-    if (aResult.end_ == CommitEnd::LeaseGone && lease == lease_) {
-      LoseLease();
-    }
-  });
+  store_.Commit(transaction,
+                [this, aDuty, lease = lease_](const CommitResult& aResult) {
+                  campaigning_.erase(aDuty);
+                  if (aResult.end_ == CommitEnd::LeaseGone && lease == lease_) {
+                    LoseLease();
+                  }
+                });
 }
 
 void LeaderTable::OnSnapshot(std::vector<StoreItem> aItems)
@@ -259,6 +269,9 @@
   }
   std::string duty(keys::After(aItem.key_, keys::kLeaderPrefix));
   if (!duty.empty()) {
+    auto last = lastLeader_.find(duty);
+    previousLeader_[duty] = last == lastLeader_.end() ? "" : last->second;
+    lastLeader_[duty] = aItem.value_;
     leaders_[duty] = { aItem.value_, aItem.revision_, aItem.lease_ };
     if (aItem.value_ == options_.node_) {
       EndEarlierLife(aItem.lease_);
--- a/lib/Scheduling/SchedulerHolds.cpp
+++ b/lib/Scheduling/SchedulerHolds.cpp
@@ -8,7 +8,7 @@
 
 /// How long a hold may wait for an end. Bounds the age of leases and of the
 /// belief that a target lives.
-static constexpr Millis kHoldWait{ 1500 };
+static constexpr Millis kHoldWait{ 700 };
 /// Where tasks that fill run beside tasks that serve, their tails are read
 /// this often.
 static constexpr Millis kTailWait{ 500 };
--- a/lib/Scheduling/SchedulerOrders.cpp
+++ b/lib/Scheduling/SchedulerOrders.cpp
@@ -12,13 +12,15 @@
 /// Pause before an order without an answer is sent again.
 static constexpr Millis kOrderRetry{ 300 };
 /// A start without an answer is looked for this long before it is stopped.
-static constexpr Millis kLookFirst{ 300 };
+static constexpr Millis kLookFirst{ 100 };
 /// Runs of jobs that are not known yet are spared this long: news of a job may
 /// come later than its runs.
 static constexpr Millis kUnknownJobGrace{ 3000 };
 /// Pause of starts on a target that refused one.
 static constexpr Millis kFullPause{ 200 };
 static constexpr Millis kUnhealthyPause{ 1000 };
+/// A single start without an answer says little of its target.
+static constexpr int kUnansweredStarts = 2;
 /// Delay of a start that no target can read.
 static constexpr Millis kMalformedPause{ 5000 };
 /// Filling tasks give way above this share of a serving task's target.
@@ -205,6 +207,7 @@
   if (aAnswer.end_ == OrderEnd::Done) {
     run->phase_ = RunPhase::Running;
     run->answeredAt_ = now;
+    target.unansweredStarts_ = 0;
     if (Job* job = FindJob(aRun.first.job_)) {
       job->Begin();
     }
@@ -216,7 +219,9 @@
   if (aAnswer.end_ == OrderEnd::NoAnswer) {
     run->phase_ = RunPhase::Unknown;
     run->answeredAt_ = now;
-    target.avoidUntil_ = std::max(target.avoidUntil_, now + kUnhealthyPause);
+    if (++target.unansweredStarts_ >= kUnansweredStarts) {
+      target.avoidUntil_ = std::max(target.avoidUntil_, now + kUnhealthyPause);
+    }
     target.nextHoldAt_ = now;
     Due(now);
     return;
