Scheduler and planner split by duty; one guard for late callbacks

Change: SchedulerEnds, PoolReport and PoolWaves of their own; AliveGuard; ServiceLeader::ToScheduler.

--- a/include/coltsfootshed/Node/PoolManager.h
+++ b/include/coltsfootshed/Node/PoolManager.h
@@ -7,6 +7,7 @@
 #include "coltsfootshed/Node/LeaderLinks.h"
 #include "coltsfootshed/Node/WireFormat.h"
 #include "coltsfootshed/Pools/PoolPlanner.h"
+#include "coltsfootshed/Support/AliveGuard.h"
 
 namespace coltsfootshed {
 
@@ -44,24 +45,12 @@
   void OnOrderEnd(const std::string& aVm, VmOrderEnd aEnd);
   void SaveWaves();
 
-  template<typename F>
-  auto Guard(F aFunction)
-  {
-    return [alive = std::weak_ptr<bool>(alive_),
-            function = std::move(aFunction)](const auto&... aArguments) {
-      if (!alive.expired()) {
-        function(aArguments...);
-      }
-    };
-  }
-
   Dependencies with_;
   std::string node_;
   Fence fence_;
   Millis quietUntil_;
   PoolPlanner planner_;
   std::shared_ptr<const JobsConfig> config_;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   Timer tickTimer_;
   std::uint64_t orders_ = 0;
   bool loaded_ = false;
@@ -73,6 +62,7 @@
   std::uint64_t savedChanges_ = 0;
   Revision savedRevision_ = 0;
   Millis saveAt_{ 0 };
+  AliveGuard guard_;
 };
 
 } // namespace coltsfootshed
--- a/include/coltsfootshed/Node/ServiceLeader.h
+++ b/include/coltsfootshed/Node/ServiceLeader.h
@@ -6,6 +6,7 @@
 
 #include "coltsfootshed/Scheduling/Scheduler.h"
 #include "coltsfootshed/Store/PrefixFollower.h"
+#include "coltsfootshed/Support/AliveGuard.h"
 
 namespace coltsfootshed {
 
@@ -66,6 +67,12 @@
   void Run();
   void Carry(SchedulerOrder& aOrder);
   void CarryHold(const TargetHold& aHold);
+  using AnswerHandler = void (Scheduler::*)(const std::string&,
+                                            const RunKey&,
+                                            const OrderAnswer&);
+  auto ToScheduler(const std::string& aTarget,
+                   const RunKey& aRun,
+                   AnswerHandler aHandler);
   void CarryStart(const TargetStart& aStart);
   void CarryStop(const TargetStop& aStop);
   void CarryPace(const TargetPace& aPace);
@@ -76,23 +83,10 @@
   void Abdicate();
   void Collect();
 
-  /// Wraps a callback so that it does nothing once this leader is gone.
-  template<typename F>
-  auto Guard(F aFunction)
-  {
-    return [alive = std::weak_ptr<bool>(alive_),
-            function = std::move(aFunction)](const auto&... aArguments) {
-      if (!alive.expired()) {
-        function(aArguments...);
-      }
-    };
-  }
-
   Dependencies with_;
   Options options_;
   std::function<void()> onAbdicate_;
   Scheduler scheduler_;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   Timer runTimer_;
   Timer retryTimer_;
   Timer collectTimer_;
@@ -106,6 +100,7 @@
   std::map<std::string, std::pair<std::string, Revision>> progress_;
   std::map<std::string, Millis> endedSince_;
   std::unique_ptr<PrefixFollower> work_;
+  AliveGuard guard_;
 };
 
 } // namespace coltsfootshed
--- a/include/coltsfootshed/Pools/PoolPlanner.h
+++ b/include/coltsfootshed/Pools/PoolPlanner.h
@@ -19,6 +19,9 @@
 
 namespace coltsfootshed {
 
+/// The list of VMs may lag behind an order by this much.
+inline constexpr Millis kVmListLag{ 2500 };
+
 /// What a service's scheduler says of one of its targets.
 struct TargetUse
 {
--- a/lib/Node/PoolManager.cpp
+++ b/lib/Node/PoolManager.cpp
@@ -50,18 +50,19 @@
     return;
   }
   saving_ = true;
-  with_.store_.Get(keys::Pools(),
-                   Guard([this](const Result<std::optional<StoreItem>>& aItem) {
-                     saving_ = false;
-                     if (!aItem) {
-                       return; // with the next tick
-                     }
-                     loaded_ = true;
-                     if (aItem->has_value()) {
-                       savedRevision_ = (*aItem)->revision_;
-                       planner_.LoadWaves((*aItem)->value_);
-                     }
-                   }));
+  with_.store_.Get(
+    keys::Pools(),
+    guard_([this](const Result<std::optional<StoreItem>>& aItem) {
+      saving_ = false;
+      if (!aItem) {
+        return; // with the next tick
+      }
+      loaded_ = true;
+      if (aItem->has_value()) {
+        savedRevision_ = (*aItem)->revision_;
+        planner_.LoadWaves((*aItem)->value_);
+      }
+    }));
 }
 
 void PoolManager::Tick()
@@ -92,7 +93,7 @@
 void PoolManager::ListVms()
 {
   listing_ = true;
-  with_.vms_.List(Guard([this](const Result<std::vector<PoolVm>>& aVms) {
+  with_.vms_.List(guard_([this](const Result<std::vector<PoolVm>>& aVms) {
     listing_ = false;
     if (!aVms) {
       LogBelief("vms-not-listed", { { "error", aVms.error().Text() } });
@@ -113,7 +114,7 @@
     with_.links_.AskPool(
       service.name_,
       planner_.Vacating(service.name_),
-      Guard([this, name = service.name_](const Result<PoolReport>& aReport) {
+      guard_([this, name = service.name_](const Result<PoolReport>& aReport) {
         gathering_.erase(name);
         if (aReport) {
           planner_.SetReport(*aReport);
@@ -126,16 +127,17 @@
 {
   VmAuthority authority{ node_, fence_ * kOrdersPerFence + ++orders_ };
   if (const auto* move = std::get_if<MoveVm>(&aOrder)) {
-    with_.vms_.Move(
-      move->vm_,
-      move->pool_,
-      authority,
-      Guard([this, vm = move->vm_](VmOrderEnd aEnd) { OnOrderEnd(vm, aEnd); }));
+    with_.vms_.Move(move->vm_,
+                    move->pool_,
+                    authority,
+                    guard_([this, vm = move->vm_](VmOrderEnd aEnd) {
+                      OnOrderEnd(vm, aEnd);
+                    }));
   } else if (const auto* maintain = std::get_if<MaintainVm>(&aOrder)) {
     with_.vms_.Maintain(maintain->vm_,
                         maintain->wave_,
                         authority,
-                        Guard([this, vm = maintain->vm_](VmOrderEnd aEnd) {
+                        guard_([this, vm = maintain->vm_](VmOrderEnd aEnd) {
                           OnOrderEnd(vm, aEnd);
                         }));
   } else if (const auto* show = std::get_if<ShowWave>(&aOrder)) {
@@ -146,7 +148,7 @@
       { with_.format_.waveStatusPrefix_ + std::to_string(show->wave_),
         with_.format_.writeWaveStatus_(show->complete_) });
     with_.store_.Commit(
-      transaction, Guard([this, show = *show](const CommitResult& aResult) {
+      transaction, guard_([this, show = *show](const CommitResult& aResult) {
         LogDecision("wave-shown",
                     { { "wave", std::to_string(show.wave_) },
                       { "complete", show.complete_ ? "1" : "0" },
@@ -179,7 +181,7 @@
   transaction.conditions_.push_back({ keys::Pools(), savedRevision_ });
   transaction.puts_.push_back({ keys::Pools(), planner_.EncodeWaves() });
   with_.store_.Commit(transaction,
-                      Guard([this, changes](const CommitResult& aResult) {
+                      guard_([this, changes](const CommitResult& aResult) {
                         saving_ = false;
                         saveAt_ = with_.clock_.Now() + kSaveRetry;
                         if (aResult.end_ == CommitEnd::Committed) {
--- a/lib/Node/ServiceLeader.cpp
+++ b/lib/Node/ServiceLeader.cpp
@@ -88,19 +88,20 @@
 
 void ServiceLeader::LoadRoster()
 {
-  with_.store_.Get(keys::Roster(options_.service_),
-                   Guard([this](const Result<std::optional<StoreItem>>& aItem) {
-                     if (!aItem) {
-                       Retry([this] { LoadRoster(); });
-                       return;
-                     }
-                     if (aItem->has_value()) {
-                       rosterRevision_ = (*aItem)->revision_;
-                       scheduler_.LoadRoster(
-                         DecodeRoster((*aItem)->value_, options_.service_));
-                     }
-                     LoadProgress();
-                   }));
+  with_.store_.Get(
+    keys::Roster(options_.service_),
+    guard_([this](const Result<std::optional<StoreItem>>& aItem) {
+      if (!aItem) {
+        Retry([this] { LoadRoster(); });
+        return;
+      }
+      if (aItem->has_value()) {
+        rosterRevision_ = (*aItem)->revision_;
+        scheduler_.LoadRoster(
+          DecodeRoster((*aItem)->value_, options_.service_));
+      }
+      LoadProgress();
+    }));
 }
 
 void ServiceLeader::LoadProgress()
@@ -114,7 +115,7 @@
 {
   std::string prefix = keys::ProgressPrefix(options_.service_);
   with_.store_.Range(
-    prefix, aAfter, Guard([this, prefix](const Result<StorePage>& aPage) {
+    prefix, aAfter, guard_([this, prefix](const Result<StorePage>& aPage) {
       if (!aPage) {
         Retry([this] { LoadProgress(); });
         return;
@@ -291,7 +292,7 @@
   with_.targets_.Hold(
     info,
     aHold.order_,
-    Guard([this, id = aHold.target_](const HoldAnswer& aAnswer) {
+    guard_([this, id = aHold.target_](const HoldAnswer& aAnswer) {
       scheduler_.OnHold(id, aAnswer);
       if (aAnswer.end_ == OrderEnd::FenceTooLow) {
         Abdicate();
@@ -300,49 +301,48 @@
     }));
 }
 
+/// A callback that brings an order's answer to the scheduler by aHandler.
+auto ServiceLeader::ToScheduler(const std::string& aTarget,
+                                const RunKey& aRun,
+                                AnswerHandler aHandler)
+{
+  return guard_([this, aTarget, aRun, aHandler](const OrderAnswer& aAnswer) {
+    (scheduler_.*aHandler)(aTarget, aRun, aAnswer);
+    if (aAnswer.end_ == OrderEnd::FenceTooLow) {
+      Abdicate();
+    }
+    Kick();
+  });
+}
+
 void ServiceLeader::CarryStart(const TargetStart& aStart)
 {
-  const TargetInfo& info = scheduler_.Targets().at(aStart.target_).info_;
-  RunKey run{ aStart.order_.task_, aStart.order_.run_ };
-  with_.targets_.Start(
-    info,
-    aStart.order_,
-    Guard([this, id = aStart.target_, run](const OrderAnswer& aAnswer) {
-      scheduler_.OnStart(id, run, aAnswer);
-      if (aAnswer.end_ == OrderEnd::FenceTooLow) {
-        Abdicate();
-      }
-      Kick();
-    }));
+  const StartOrder& order = aStart.order_;
+  with_.targets_.Start(scheduler_.Targets().at(aStart.target_).info_,
+                       order,
+                       ToScheduler(aStart.target_,
+                                   { order.task_, order.run_ },
+                                   &Scheduler::OnStart));
 }
 
 void ServiceLeader::CarryStop(const TargetStop& aStop)
 {
-  const TargetInfo& info = scheduler_.Targets().at(aStop.target_).info_;
-  RunKey run{ aStop.order_.task_, aStop.order_.run_ };
-  with_.targets_.Stop(
-    info,
-    aStop.order_,
-    Guard([this, id = aStop.target_, run](const OrderAnswer& aAnswer) {
-      scheduler_.OnStop(id, run, aAnswer);
-      if (aAnswer.end_ == OrderEnd::FenceTooLow) {
-        Abdicate();
-      }
-      Kick();
-    }));
+  const StopOrder& order = aStop.order_;
+  with_.targets_.Stop(scheduler_.Targets().at(aStop.target_).info_,
+                      order,
+                      ToScheduler(aStop.target_,
+                                  { order.task_, order.run_ },
+                                  &Scheduler::OnStop));
 }
 
 void ServiceLeader::CarryPace(const TargetPace& aPace)
 {
-  const TargetInfo& info = scheduler_.Targets().at(aPace.target_).info_;
-  RunKey run{ aPace.order_.task_, aPace.order_.run_ };
-  with_.targets_.Pace(
-    info,
-    aPace.order_,
-    Guard([this, id = aPace.target_, run](const OrderAnswer& aAnswer) {
-      scheduler_.OnPace(id, run, aAnswer);
-      Kick();
-    }));
+  const PaceOrder& order = aPace.order_;
+  with_.targets_.Pace(scheduler_.Targets().at(aPace.target_).info_,
+                      order,
+                      ToScheduler(aPace.target_,
+                                  { order.task_, order.run_ },
+                                  &Scheduler::OnPace));
 }
 
 void ServiceLeader::CarryAdvice(const AskAdvice& aAsk)
@@ -353,7 +353,7 @@
   }
   with_.advice_->Ask(aAsk.step_.StepText(),
                      aAsk.targets_,
-                     Guard([this, aAsk](const Advice& aAdvice) {
+                     guard_([this, aAsk](const Advice& aAdvice) {
                        scheduler_.OnAdvice(aAsk.step_, aAsk.targets_, aAdvice);
                        Kick();
                      }));
@@ -391,7 +391,7 @@
     transaction.puts_.push_back({ key, entry.progress_ });
   }
   with_.store_.Commit(
-    transaction, Guard([this, aSave](const CommitResult& aResult) {
+    transaction, guard_([this, aSave](const CommitResult& aResult) {
       bool committed = aResult.end_ == CommitEnd::Committed;
       if (!committed) {
         LogBelief("progress-not-saved",
@@ -423,7 +423,7 @@
   transaction.conditions_.push_back({ key, rosterRevision_ });
   transaction.puts_.push_back({ key, EncodeRoster(aRoster.targets_) });
   with_.store_.Commit(transaction,
-                      Guard([this, key](const CommitResult& aResult) {
+                      guard_([this, key](const CommitResult& aResult) {
                         bool committed = aResult.end_ == CommitEnd::Committed;
                         if (committed) {
                           rosterRevision_ = aResult.revision_;
@@ -473,7 +473,7 @@
     return;
   }
   with_.store_.Commit(
-    transaction, Guard([this](const CommitResult& aResult) {
+    transaction, guard_([this](const CommitResult& aResult) {
       LogBelief(
         "jobs-collected",
         { { "service", options_.service_ },
--- a/lib/Pools/PoolPlanner.cpp
+++ b/lib/Pools/PoolPlanner.cpp
@@ -4,12 +4,9 @@
 
 #include <algorithm>
 #include <cmath>
-#include <nlohmann/json.hpp>
 
 namespace coltsfootshed {
 
-using Json = nlohmann::json;
-
 /// Older reports are not acted on: the service may have a new leader.
 static constexpr Millis kReportAge{ 700 };
 /// Room above the load, so that new work starts at once and a lost VM hurts
@@ -23,8 +20,6 @@
 static constexpr Millis kVacateLimit{ 4000 };
 /// Pause after an order was refused.
 static constexpr Millis kRefusedPause{ 500 };
-/// The list may lag behind an order by this much.
-static constexpr Millis kListLag{ 2500 };
 /// A target's registry entry is gone at the latest this long after its VM was
 /// moved: three heartbeats and the registry's own delay.
 static constexpr Millis kLeftTarget{ 10000 };
@@ -33,45 +28,6 @@
 static constexpr Millis kMoveTime{ 1600 };
 /// Pause between log lines on one pool.
 static constexpr Millis kLogPause{ 1000 };
-/// Share of a pool's VMs that a wave may empty at once.
-static constexpr double kWaveShare = 0.25;
-
-std::string EncodeReport(const PoolReport& aReport)
-{
-  Json targets = Json::array();
-  for (const TargetUse& use : aReport.targets_) {
-    targets.push_back({ use.target_, use.runs_, use.lasting_, use.vacating_ });
-  }
-  Json json = { { "service", aReport.service_ },
-                { "used", { aReport.used_.cpu_, aReport.used_.memory_ } },
-                { "waiting",
-                  { aReport.waiting_.cpu_, aReport.waiting_.memory_ } },
-                { "arriving", aReport.arrivingCpu_ },
-                { "least", aReport.leastVms_ },
-                { "targets", targets } };
-  return json.dump();
-}
-
-Result<PoolReport> DecodeReport(std::string_view aText)
-{
-  try {
-    Json json = Json::parse(aText);
-    PoolReport report;
-    report.service_ = json.at("service");
-    report.used_.cpu_ = json.at("used").at(0);
-    report.used_.memory_ = json.at("used").at(1);
-    report.waiting_.cpu_ = json.at("waiting").at(0);
-    report.waiting_.memory_ = json.at("waiting").at(1);
-    report.arrivingCpu_ = json.at("arriving");
-    report.leastVms_ = json.at("least");
-    for (const Json& row : json.at("targets")) {
-      report.targets_.push_back({ row.at(0), row.at(1), row.at(2), row.at(3) });
-    }
-    return report;
-  } catch (const Json::exception& failure) {
-    return Fail("read a pool report", "", failure.what());
-  }
-}
 
 PoolPlanner::PoolPlanner(const Clock& aClock)
   : clock_(aClock)
@@ -91,20 +47,6 @@
   }
 }
 
-void PoolPlanner::SetWave(const WaveConfig& aWave)
-{
-  auto [entry, isNew] = waves_.try_emplace(aWave.number_);
-  entry->second.config_ = aWave;
-  if (isNew) {
-    entry->second.since_ = clock_.Now();
-  }
-}
-
-void PoolPlanner::RemoveWave(std::int64_t aWave)
-{
-  waves_.erase(aWave);
-}
-
 void PoolPlanner::SetVms(std::vector<PoolVm> aVms)
 {
   Millis now = clock_.Now();
@@ -115,7 +57,7 @@
     if (moved != movedTo_.end()) {
       bool shown =
         (vm.pool_ == moved->second.first && vm.phase_ == VmPhase::Up) ||
-        now - moved->second.second > kListLag;
+        now - moved->second.second > kVmListLag;
       if (shown) {
         movedTo_.erase(moved);
       } else {
@@ -223,96 +165,6 @@
   return orders;
 }
 
-int PoolPlanner::DownFor(const Wave& aWave) const
-{
-  Millis now = clock_.Now();
-  int down = 0;
-  for (const auto& [vm, at] : aWave.beganAt_) {
-    const PoolVm* known = FindVm(vm);
-    bool isDown = now - at < kListLag ||
-                  (known != nullptr && known->phase_ == VmPhase::Maintained);
-    down += isDown ? 1 : 0;
-  }
-  for (const auto& [vm, plan] : plans_) {
-    bool ordered = plan.intent_ == Intent::Maintain && plan.ordered_ &&
-                   plan.wave_ == aWave.config_.number_;
-    down += ordered ? 1 : 0;
-  }
-  return down;
-}
-
-void PoolPlanner::PlanWaves(std::vector<PoolOrder>& aOrders)
-{
-  for (auto& [number, wave] : waves_) {
-    PlanWave(wave, aOrders);
-  }
-}
-
-void PoolPlanner::PlanWave(Wave& aWave, std::vector<PoolOrder>& aOrders)
-{
-  if (vms_.empty()) {
-    return;
-  }
-  if (!aWave.shownRunning_) {
-    aWave.shownRunning_ = true;
-    aOrders.emplace_back(ShowWave{ aWave.config_.number_, false });
-  }
-  std::vector<const PoolVm*> due;
-  bool open = false;
-  for (const std::string& name : aWave.config_.vms_) {
-    const PoolVm* vm = FindVm(name);
-    if (vm == nullptr || aWave.begun_.count(name) > 0) {
-      continue;
-    }
-    open = true;
-    if (IsFree(*vm)) {
-      due.push_back(vm);
-    }
-  }
-  if (!open && !aWave.complete_) {
-    aWave.complete_ = true;
-    aOrders.emplace_back(ShowWave{ aWave.config_.number_, true });
-  }
-  // VMs whose loss costs least go first.
-  auto runs = [this](const PoolVm* aVm) {
-    const TargetUse* use = UseOf(*aVm);
-    int costs = use == nullptr ? 1000 : use->runs_ + 100 * use->lasting_;
-    return IsSpare(aVm->pool_) ? -1 : costs;
-  };
-  std::stable_sort(
-    due.begin(), due.end(), [&](const auto* aLeft, const auto* aRight) {
-      return runs(aLeft) < runs(aRight);
-    });
-  int planned = DownFor(aWave);
-  std::map<std::string, int> emptied;
-  for (const auto& [name, plan] : plans_) {
-    if (plan.intent_ == Intent::Maintain) {
-      planned += plan.ordered_ ? 0 : 1;
-      ++emptied[FindVm(name)->pool_];
-    }
-  }
-  for (const PoolVm* vm : due) {
-    if (planned >= aWave.config_.cap_) {
-      return;
-    }
-    bool spare = IsSpare(vm->pool_);
-    int most = std::max(
-      1, static_cast<int>(kWaveShare * static_cast<double>(Count(vm->pool_))));
-    bool mayEmpty =
-      spare || (UseOf(*vm) != nullptr && emptied[vm->pool_] < most);
-    if (!mayEmpty) {
-      continue;
-    }
-    ++planned;
-    ++emptied[vm->pool_];
-    Plan plan;
-    plan.intent_ = Intent::Maintain;
-    plan.wave_ = aWave.config_.number_;
-    plan.since_ = clock_.Now();
-    plans_.emplace(vm->vm_, plan);
-  }
-}
-
 void PoolPlanner::PlanMoves()
 {
   if (vms_.empty() || spare_.empty()) {
@@ -509,15 +361,6 @@
   }
 }
 
-void PoolPlanner::ShowAgain(std::int64_t aWave)
-{
-  auto wave = waves_.find(aWave);
-  if (wave != waves_.end()) {
-    wave->second.shownRunning_ = false;
-    wave->second.complete_ = false;
-  }
-}
-
 std::vector<std::string> PoolPlanner::Vacating(std::string_view aService) const
 {
   std::vector<std::string> targets;
@@ -535,28 +378,4 @@
   return targets;
 }
 
-std::string PoolPlanner::EncodeWaves() const
-{
-  Json json = Json::array();
-  for (const auto& [number, wave] : waves_) {
-    json.push_back({ number, wave.begun_ });
-  }
-  return json.dump();
-}
-
-void PoolPlanner::LoadWaves(std::string_view aText)
-{
-  Json json = Json::parse(aText, nullptr, false);
-  if (!json.is_array()) {
-    LogBelief("waves-unreadable", {});
-    return;
-  }
-  for (const Json& row : json) {
-    auto wave = waves_.find(row.at(0).get<std::int64_t>());
-    if (wave != waves_.end()) {
-      row.at(1).get_to(wave->second.begun_);
-    }
-  }
-}
-
 } // namespace coltsfootshed
--- /dev/null
+++ b/lib/Pools/PoolReport.cpp
@@ -0,0 +1,47 @@
+// The form in which pool reports travel between entry VMs.
+#include "coltsfootshed/Pools/PoolPlanner.h"
+
+#include <nlohmann/json.hpp>
+
+namespace coltsfootshed {
+
+using Json = nlohmann::json;
+
+std::string EncodeReport(const PoolReport& aReport)
+{
+  Json targets = Json::array();
+  for (const TargetUse& use : aReport.targets_) {
+    targets.push_back({ use.target_, use.runs_, use.lasting_, use.vacating_ });
+  }
+  Json json = { { "service", aReport.service_ },
+                { "used", { aReport.used_.cpu_, aReport.used_.memory_ } },
+                { "waiting",
+                  { aReport.waiting_.cpu_, aReport.waiting_.memory_ } },
+                { "arriving", aReport.arrivingCpu_ },
+                { "least", aReport.leastVms_ },
+                { "targets", targets } };
+  return json.dump();
+}
+
+Result<PoolReport> DecodeReport(std::string_view aText)
+{
+  try {
+    Json json = Json::parse(aText);
+    PoolReport report;
+    report.service_ = json.at("service");
+    report.used_.cpu_ = json.at("used").at(0);
+    report.used_.memory_ = json.at("used").at(1);
+    report.waiting_.cpu_ = json.at("waiting").at(0);
+    report.waiting_.memory_ = json.at("waiting").at(1);
+    report.arrivingCpu_ = json.at("arriving");
+    report.leastVms_ = json.at("least");
+    for (const Json& row : json.at("targets")) {
+      report.targets_.push_back({ row.at(0), row.at(1), row.at(2), row.at(3) });
+    }
+    return report;
+  } catch (const Json::exception& failure) {
+    return Fail("read a pool report", "", failure.what());
+  }
+}
+
+} // namespace coltsfootshed
--- /dev/null
+++ b/lib/Pools/PoolWaves.cpp
@@ -0,0 +1,152 @@
+// Maintenance waves: which VM goes down next, and how far each wave is.
+#include "coltsfootshed/Observe/DecisionLog.h"
+#include "coltsfootshed/Pools/PoolPlanner.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace coltsfootshed {
+
+using Json = nlohmann::json;
+
+/// Share of a pool's VMs that a wave may empty at once.
+static constexpr double kWaveShare = 0.25;
+
+void PoolPlanner::SetWave(const WaveConfig& aWave)
+{
+  auto [entry, isNew] = waves_.try_emplace(aWave.number_);
+  entry->second.config_ = aWave;
+  if (isNew) {
+    entry->second.since_ = clock_.Now();
+  }
+}
+
+void PoolPlanner::RemoveWave(std::int64_t aWave)
+{
+  waves_.erase(aWave);
+}
+
+int PoolPlanner::DownFor(const Wave& aWave) const
+{
+  Millis now = clock_.Now();
+  int down = 0;
+  for (const auto& [vm, at] : aWave.beganAt_) {
+    const PoolVm* known = FindVm(vm);
+    bool isDown = now - at < kVmListLag ||
+                  (known != nullptr && known->phase_ == VmPhase::Maintained);
+    down += isDown ? 1 : 0;
+  }
+  for (const auto& [vm, plan] : plans_) {
+    bool ordered = plan.intent_ == Intent::Maintain && plan.ordered_ &&
+                   plan.wave_ == aWave.config_.number_;
+    down += ordered ? 1 : 0;
+  }
+  return down;
+}
+
+void PoolPlanner::PlanWaves(std::vector<PoolOrder>& aOrders)
+{
+  for (auto& [number, wave] : waves_) {
+    PlanWave(wave, aOrders);
+  }
+}
+
+void PoolPlanner::PlanWave(Wave& aWave, std::vector<PoolOrder>& aOrders)
+{
+  if (vms_.empty()) {
+    return;
+  }
+  if (!aWave.shownRunning_) {
+    aWave.shownRunning_ = true;
+    aOrders.emplace_back(ShowWave{ aWave.config_.number_, false });
+  }
+  std::vector<const PoolVm*> due;
+  bool open = false;
+  for (const std::string& name : aWave.config_.vms_) {
+    const PoolVm* vm = FindVm(name);
+    if (vm == nullptr || aWave.begun_.count(name) > 0) {
+      continue;
+    }
+    open = true;
+    if (IsFree(*vm)) {
+      due.push_back(vm);
+    }
+  }
+  if (!open && !aWave.complete_) {
+    aWave.complete_ = true;
+    aOrders.emplace_back(ShowWave{ aWave.config_.number_, true });
+  }
+  // VMs whose loss costs least go first.
+  auto runs = [this](const PoolVm* aVm) {
+    const TargetUse* use = UseOf(*aVm);
+    int costs = use == nullptr ? 1000 : use->runs_ + 100 * use->lasting_;
+    return IsSpare(aVm->pool_) ? -1 : costs;
+  };
+  std::stable_sort(
+    due.begin(), due.end(), [&](const auto* aLeft, const auto* aRight) {
+      return runs(aLeft) < runs(aRight);
+    });
+  int planned = DownFor(aWave);
+  std::map<std::string, int> emptied;
+  for (const auto& [name, plan] : plans_) {
+    if (plan.intent_ == Intent::Maintain) {
+      planned += plan.ordered_ ? 0 : 1;
+      ++emptied[FindVm(name)->pool_];
+    }
+  }
+  for (const PoolVm* vm : due) {
+    if (planned >= aWave.config_.cap_) {
+      return;
+    }
+    bool spare = IsSpare(vm->pool_);
+    int most = std::max(
+      1, static_cast<int>(kWaveShare * static_cast<double>(Count(vm->pool_))));
+    bool mayEmpty =
+      spare || (UseOf(*vm) != nullptr && emptied[vm->pool_] < most);
+    if (!mayEmpty) {
+      continue;
+    }
+    ++planned;
+    ++emptied[vm->pool_];
+    Plan plan;
+    plan.intent_ = Intent::Maintain;
+    plan.wave_ = aWave.config_.number_;
+    plan.since_ = clock_.Now();
+    plans_.emplace(vm->vm_, plan);
+  }
+}
+
+void PoolPlanner::ShowAgain(std::int64_t aWave)
+{
+  auto wave = waves_.find(aWave);
+  if (wave != waves_.end()) {
+    wave->second.shownRunning_ = false;
+    wave->second.complete_ = false;
+  }
+}
+
+std::string PoolPlanner::EncodeWaves() const
+{
+  Json json = Json::array();
+  for (const auto& [number, wave] : waves_) {
+    json.push_back({ number, wave.begun_ });
+  }
+  return json.dump();
+}
+
+void PoolPlanner::LoadWaves(std::string_view aText)
+{
+  Json json = Json::parse(aText, nullptr, false);
+  if (!json.is_array()) {
+    LogBelief("waves-unreadable", {});
+    return;
+  }
+  for (const Json& row : json) {
+    auto wave = waves_.find(row.at(0).get<std::int64_t>());
+    if (wave != waves_.end()) {
+      row.at(1).get_to(wave->second.begun_);
+    }
+  }
+}
+
+} // namespace coltsfootshed
--- /dev/null
+++ b/lib/Scheduling/SchedulerEnds.cpp
@@ -0,0 +1,154 @@
+// Ends of runs: what they mean for their task and their target, and when they
+// are acknowledged.
+#include "coltsfootshed/Observe/DecisionLog.h"
+#include "coltsfootshed/Scheduling/Scheduler.h"
+
+#include <algorithm>
+#include <array>
+
+namespace coltsfootshed {
+
+/// Window of the evidence that a target fails what it starts.
+static constexpr Millis kEvidenceWindow{ 6000 };
+/// Distinct jobs that must fail within the window.
+static constexpr std::size_t kEvidenceJobs = 2;
+/// How long a target that fails its tasks gets no starts.
+static constexpr Millis kGreyPause{ 6000 };
+/// Delay before a lasting task that failed is started again.
+static constexpr Millis kRestartDelay{ 100 };
+
+void Scheduler::TakeEnds(TargetState& aTarget, const HoldAnswer& aAnswer)
+{
+  for (const EndedRow& end : aAnswer.ended_) {
+    if (end.number_ <= aTarget.processed_) {
+      continue;
+    }
+    aTarget.processed_ = end.number_;
+    TakeEnd(aTarget, end);
+    Job* job = FindJob(end.task_.job_);
+    bool unsaved = job != nullptr && job->saved_ < job->changed_;
+    aTarget.unsaved_.push_back({ end.number_,
+                                 end.task_.job_,
+                                 unsaved ? job->changed_ : ChangeNumber(0) });
+  }
+}
+
+static std::string_view NameOf(RunEnd aEnd)
+{
+  static constexpr std::array<std::string_view, 6> kNames = {
+    "done", "failed", "stopped", "lapsed", "broken", "alone"
+  };
+  return kNames.at(static_cast<std::size_t>(aEnd));
+}
+
+void Scheduler::TakeEnd(TargetState& aTarget, const EndedRow& aEnd)
+{
+  RunKey key{ aEnd.task_, aEnd.run_ };
+  RunState* run = aTarget.FindRun(key);
+  Millis took = run == nullptr ? Millis(0) : clock_.Now() - run->sentAt_;
+  LogDecision("run-ended",
+              { { "task", aEnd.task_.Text() },
+                { "run", std::to_string(aEnd.run_) },
+                { "target", aTarget.info_.id_ },
+                { "how", std::string(NameOf(aEnd.how_)) },
+                { "took_ms", std::to_string(took.count()) } });
+  Job* job = FindJob(aEnd.task_.job_);
+  TaskProgress* task = job == nullptr ? nullptr : job->Find(aEnd.task_);
+  RunIsGone(aTarget, key);
+  if (task == nullptr) {
+    return;
+  }
+  job->highestRun_ = std::max(job->highestRun_, aEnd.run_);
+  const StepSpec& spec = *job->SpecOf(aEnd.task_);
+  if (!aEnd.checkpoint_.empty()) {
+    task->checkpoint_ = aEnd.checkpoint_;
+  }
+  if (spec.lasting_) {
+    task->notBefore_ = clock_.Now() + kRestartDelay;
+    Due(task->notBefore_);
+    return;
+  }
+  bool fitting = took > Millis(0) && task->checkpoint_.empty();
+  if (aEnd.how_ == RunEnd::Done) {
+    CountOutcome(aTarget, job->Record().id_, true);
+    if (fitting) {
+      estimates_.Learn(spec.image_, spec.estimate_, took);
+    }
+    if (!job->IsEnded()) {
+      job->MarkDone(aEnd.task_);
+      Touch(*job);
+    }
+  } else if (aEnd.how_ == RunEnd::Failed) {
+    CountOutcome(aTarget, job->Record().id_, false);
+    task->failedOn_.insert(aTarget.info_.id_);
+    if (!job->IsEnded()) {
+      job->MarkFailed(aEnd.task_, aEnd.run_);
+      Touch(*job);
+    }
+  }
+  if (job->IsEnded()) {
+    LogDecision(
+      "job-ended",
+      { { "job", job->Record().id_ },
+        { "state", std::string(NameOf(job->State())) },
+        { "after_ms",
+          std::to_string((clock_.Now() - job->AcceptedAt()).count()) } });
+  }
+}
+
+/// A target is avoided when tasks of different jobs fail there; one job that
+/// fails everywhere says nothing of its targets.
+void Scheduler::CountOutcome(TargetState& aTarget,
+                             const std::string& aJob,
+                             bool aDone)
+{
+  Millis now = clock_.Now();
+  if (aDone) {
+    aTarget.successes_.push_back(now);
+  } else {
+    aTarget.failures_.emplace_back(now, aJob);
+  }
+  while (!aTarget.successes_.empty() &&
+         aTarget.successes_.front() < now - kEvidenceWindow) {
+    aTarget.successes_.pop_front();
+  }
+  while (!aTarget.failures_.empty() &&
+         aTarget.failures_.front().first < now - kEvidenceWindow) {
+    aTarget.failures_.pop_front();
+  }
+  std::set<std::string_view> jobs;
+  for (const auto& [at, job] : aTarget.failures_) {
+    jobs.insert(job);
+  }
+  if (aDone || jobs.size() < kEvidenceJobs ||
+      aTarget.failures_.size() <= aTarget.successes_.size()) {
+    return;
+  }
+  aTarget.avoidUntil_ = now + kGreyPause;
+  LogBelief("target-grey",
+            { { "target", aTarget.info_.id_ },
+              { "failed", std::to_string(aTarget.failures_.size()) },
+              { "done", std::to_string(aTarget.successes_.size()) },
+              { "jobs", std::to_string(jobs.size()) } });
+}
+
+void Scheduler::AcknowledgeSaved(TargetState& aTarget)
+{
+  bool had = !aTarget.unsaved_.empty();
+  while (!aTarget.unsaved_.empty()) {
+    const TargetState::UnsavedEnd& end = aTarget.unsaved_.front();
+    const Job* job = FindJob(end.job_);
+    if (end.change_ != 0 && job != nullptr && job->saved_ < end.change_) {
+      return;
+    }
+    aTarget.acknowledged_ = end.number_;
+    aTarget.unsaved_.pop_front();
+  }
+  if (had && !aTarget.holdInFlight_) {
+    // Ends are acknowledged soon, with the next renewal of the lease.
+    aTarget.nextHoldAt_ = std::min(aTarget.nextHoldAt_, clock_.Now());
+    Due(aTarget.nextHoldAt_);
+  }
+}
+
+} // namespace coltsfootshed
--- a/lib/Scheduling/SchedulerPlacement.cpp
+++ b/lib/Scheduling/SchedulerPlacement.cpp
@@ -474,7 +474,7 @@
     order.ticket_ = ticket->text_;
   }
   LogDecision(
-    "run-start",
+    "run-ordered",
     { { "task", name.Text() },
       { "run", std::to_string(aRun) },
       { "target", aTarget.info_.id_ },
