Dead state of the scheduler removed

Cause: a mark of pending changes that was always set, a stop time that nothing used, a friend that does not exist, a class around one function. Change: removed, or made a function.

--- a/include/coltsfootshed/Node/NodeSettings.h
+++ b/include/coltsfootshed/Node/NodeSettings.h
@@ -23,7 +23,6 @@
   Millis leastLease_{ 1000 };        ///< shortest lease of the store
   Millis stopGrace_{ 6000 };         ///< from the stop signal to the kill
   Millis longestHold_{ 10000 };      ///< longest lease that a target grants
-  Millis stopTime_{ 1000 };          ///< a target's stop takes at most this
   Millis keepEnded_{ 120000 };       ///< ended jobs can be asked for
   Millis machineLease_{ 3000 };      ///< holders may not take turns within
   double farFactor_ = 1;
--- a/include/coltsfootshed/Node/ServiceLeader.h
+++ b/include/coltsfootshed/Node/ServiceLeader.h
@@ -28,7 +28,6 @@
     Fence fence_ = 0; ///< revision of the leader's key
     Millis lease_{ 5000 };
     Millis longestLease_{ 10000 };
-    Millis stopTime_{ 1000 };
     Millis keepEnded_{ 120000 };
     double farFactor_ = 1;
   };
@@ -92,7 +91,6 @@
   Timer collectTimer_;
   std::function<void()> retryStep_;
   bool loaded_ = false;
-  bool progressLoaded_ = false;
   bool kicked_ = false;
   bool running_ = false;
   bool abdicated_ = false;
--- a/include/coltsfootshed/Scheduling/Scheduler.h
+++ b/include/coltsfootshed/Scheduling/Scheduler.h
@@ -29,7 +29,6 @@
   /// so that a successor's wait covers grants that overlap its take-over.
   Millis unconfirmedLease_{ 3000 };
   Millis longestLease_{ 10000 }; ///< targets shorten longer ones to this
-  Millis stopTime_{ 1000 };      ///< a stop takes at most this long
   double farFactor_ = 1;         ///< slowdown away from the data
 };
 
@@ -167,7 +166,6 @@
   }
 
 private:
-  friend class SchedulerProbe;
   struct Ticket
   {
     std::string text_;
@@ -194,7 +192,6 @@
   void CountArrival(const Job& aJob, Millis aAge);
   static void AddWaiting(const Job& aJob, PoolReport& aReport);
   ChangeNumber Touch(Job& aJob);
-  void MayAct() { dirty_ = true; }
   void Due(Millis aAt) { nextDue_ = std::min(nextDue_, aAt); }
 
   // Holds and the life of targets.
@@ -261,7 +258,6 @@
   SchedulerSettings settings_;
   Millis bornAt_;
   bool ready_ = false;
-  bool dirty_ = true;
   bool abdicated_ = false;
   Authority authority_ = Authority::Confirmed;
   Millis nextDue_{ 0 };
--- a/lib/Node/JobsNode.cpp
+++ b/lib/Node/JobsNode.cpp
@@ -234,7 +234,6 @@
   options.fence_ = aRevision;
   options.lease_ = std::min(kRunLease, settings_.longestHold_ / 2);
   options.longestLease_ = settings_.longestHold_;
-  options.stopTime_ = settings_.stopTime_;
   options.keepEnded_ = settings_.keepEnded_;
   options.farFactor_ = settings_.farFactor_;
   auto leader =
--- a/lib/Node/ServiceLeader.cpp
+++ b/lib/Node/ServiceLeader.cpp
@@ -58,7 +58,6 @@
   settings.fence_ = aOptions.fence_;
   settings.lease_ = aOptions.lease_;
   settings.longestLease_ = aOptions.longestLease_;
-  settings.stopTime_ = aOptions.stopTime_;
   settings.farFactor_ = aOptions.farFactor_;
   return settings;
 }
@@ -129,7 +128,6 @@
         ReadProgressPage(aPage->items_.back().key_);
         return;
       }
-      progressLoaded_ = true;
       work_ = std::make_unique<PrefixFollower>(
         with_.base_,
         with_.clock_,
--- a/lib/Scheduling/Scheduler.cpp
+++ b/lib/Scheduling/Scheduler.cpp
@@ -41,7 +41,6 @@
               { "fence", std::to_string(settings_.fence_) },
               { "authority", std::to_string(static_cast<int>(aAuthority)) } });
   authority_ = aAuthority;
-  MayAct();
 }
 
 Millis Scheduler::LeaseToGrant() const
@@ -61,7 +60,6 @@
 {
   aJob.changed_ = ++change_;
   unsavedJobs_.insert(aJob.Record().id_);
-  MayAct();
   return aJob.changed_;
 }
 
@@ -82,7 +80,6 @@
   job->created_ = aCreated;
   CountArrival(*job, age);
   jobs_.emplace(id, std::move(job));
-  MayAct();
   if (lateCancels_.erase(id) > 0) {
     CancelJob(id);
   }
@@ -102,7 +99,6 @@
               { { "job", std::string(aJob) },
                 { "revision", std::to_string(aRevision) } });
   }
-  MayAct();
 }
 
 void Scheduler::CancelJob(std::string_view aJob)
@@ -269,8 +265,7 @@
   DecideEvacuations();
   DecideStops(orders);
   DecidePace(orders);
-  if (dirty_ && authority_ != Authority::Doubtful) {
-    dirty_ = false;
+  if (authority_ != Authority::Doubtful) {
     DecideStarts(orders);
   }
   DecideRoster(orders);
@@ -369,7 +364,6 @@
     target.inRoster_ = std::binary_search(
       rosterSent_.begin(), rosterSent_.end(), id, std::less<>());
   }
-  MayAct();
 }
 
 } // namespace coltsfootshed
--- a/lib/Scheduling/SchedulerHolds.cpp
+++ b/lib/Scheduling/SchedulerHolds.cpp
@@ -43,7 +43,6 @@
     auto [entry, isNew] = targets_.try_emplace(info.id_, info);
     entry->second.inRoster_ = true;
   }
-  MayAct();
 }
 
 void Scheduler::RegisterTarget(const TargetInfo& aTarget)
@@ -69,7 +68,6 @@
   target.info_ = aTarget;
   target.registered_ = true;
   rosterStale_ |= !target.inRoster_;
-  MayAct();
 }
 
 void Scheduler::UnregisterTarget(std::string_view aId)
@@ -82,18 +80,13 @@
   LogBelief("target-unlisted",
             { { "target", std::string(aId) },
               { "runs", std::to_string(found->second.runs_.size()) } });
-  MayAct();
 }
 
 void Scheduler::SetVacating(std::span<const std::string> aTargets)
 {
   for (auto& [id, target] : targets_) {
-    bool vacating =
+    target.vacating_ =
       std::find(aTargets.begin(), aTargets.end(), id) != aTargets.end();
-    if (vacating != target.vacating_) {
-      target.vacating_ = vacating;
-      MayAct();
-    }
   }
 }
 
@@ -212,7 +205,6 @@
   if (first) {
     // The lease of what was found is renewed at once.
     target.nextHoldAt_ = target.runs_.empty() ? target.nextHoldAt_ : now;
-    MayAct();
   }
 }
 
@@ -234,7 +226,6 @@
     DropRuns(aTarget, "other life at the address", AnyRun);
     aTarget.held_ = true;
     aTarget.registered_ = false;
-    MayAct();
     return;
   }
   ++aTarget.failedHolds_;
@@ -243,7 +234,6 @@
               { { "target", aTarget.info_.id_ },
                 { "end", std::string(NameOf(aEnd)) },
                 { "runs", std::to_string(aTarget.runs_.size()) } });
-    MayAct(); // tasks that may have copies get them
   }
   aTarget.nextHoldAt_ =
     now + std::min(kLongFailedPause, kFailedPause * (aTarget.failedHolds_ - 1));
@@ -274,7 +264,6 @@
   aTarget.born_ = aAnswer.born_;
   aTarget.failures_.clear();
   aTarget.successes_.clear();
-  MayAct();
 }
 
 void Scheduler::DropRuns(TargetState& aTarget,
@@ -300,7 +289,6 @@
 void Scheduler::RunIsGone(TargetState& aTarget, const RunKey& aRun)
 {
   aTarget.RemoveRun(aRun);
-  MayAct();
   Job* job = FindJob(aRun.first.job_);
   TaskProgress* task = job == nullptr ? nullptr : job->Find(aRun.first);
   if (task != nullptr) {
@@ -354,7 +342,6 @@
               { "fence", std::to_string(settings_.fence_) },
               { "jobs", std::to_string(jobs_.size()) },
               { "after_ms", Text((now - bornAt_).count()) } });
-  MayAct();
 }
 
 void Scheduler::TakeRunning(TargetState& aTarget, const HoldAnswer& aAnswer)
--- a/lib/Scheduling/SchedulerOrders.cpp
+++ b/lib/Scheduling/SchedulerOrders.cpp
@@ -205,7 +205,6 @@
   if (run == nullptr || run->phase_ != RunPhase::Starting) {
     return; // already listed, or its life is over
   }
-  MayAct();
   if (aAnswer.end_ == OrderEnd::Done) {
     run->phase_ = RunPhase::Running;
     run->answeredAt_ = now;
--- a/lib/Scheduling/SchedulerPlacement.cpp
+++ b/lib/Scheduling/SchedulerPlacement.cpp
@@ -25,38 +25,30 @@
   return estimates_.Estimate(aStep.image_, aStep.estimate_);
 }
 
-namespace {
-
-/// Lengths of the longest chains of steps that are not done.
-class Chains
+/// Length of the longest chain of steps that are not done.
+template<typename Estimate, typename IsDone>
+static Millis LongestChain(const std::vector<StepSpec>& aSteps,
+                           const Estimate& aEstimate,
+                           const IsDone& aIsDone)
 {
-public:
-  template<typename Estimate, typename IsDone>
-  Millis Longest(const std::vector<StepSpec>& aSteps,
-                 const Estimate& aEstimate,
-                 const IsDone& aIsDone)
-  {
-    std::vector<Millis> ends(aSteps.size(), Millis(0));
-    Millis longest{ 0 };
-    for (std::size_t i = 0; i < aSteps.size(); ++i) {
-      Millis begin{ 0 };
-      for (int earlier : aSteps[i].after_) {
-        // Steps name only earlier ones, which the intake checks.
-        begin = std::max(begin, ends.at(static_cast<std::size_t>(earlier)));
-      }
-      ends[i] = begin + (aIsDone(i) ? Millis(0) : aEstimate(aSteps[i]));
-      longest = std::max(longest, ends[i]);
+  std::vector<Millis> ends(aSteps.size(), Millis(0));
+  Millis longest{ 0 };
+  for (std::size_t i = 0; i < aSteps.size(); ++i) {
+    Millis begin{ 0 };
+    for (int earlier : aSteps[i].after_) {
+      // Steps name only earlier ones, which the intake checks.
+      begin = std::max(begin, ends.at(static_cast<std::size_t>(earlier)));
     }
-    return longest;
+    ends[i] = begin + (aIsDone(i) ? Millis(0) : aEstimate(aSteps[i]));
+    longest = std::max(longest, ends[i]);
   }
-};
-
-} // namespace
+  return longest;
+}
 
 Millis Scheduler::RemainingChain(const Job& aJob,
                                  const Occurrence& aOccurrence) const
 {
-  return Chains().Longest(
+  return LongestChain(
     aJob.Record().spec_.steps_,
     [this](const StepSpec& aStep) { return EstimateOf(aStep); },
     [&](std::size_t aStep) { return aOccurrence.steps_[aStep].IsDone(); });
@@ -79,7 +71,7 @@
       record.spec_.firstDue_ + aOccurrence.number_ * record.spec_.interval_;
     begin = now - (timeOfDay_.Now() - due);
   }
-  Millis whole = Chains().Longest(
+  Millis whole = LongestChain(
     record.spec_.steps_,
     [this](const StepSpec& aStep) { return EstimateOf(aStep); },
     [](std::size_t) { return false; });
@@ -169,7 +161,6 @@
 void Scheduler::DecideStarts(std::vector<SchedulerOrder>& aOrders)
 {
   Due(clock_.Now() + Millis(200)); // due times, overdue runs, expired pauses
-  dirty_ = false;
   for (const ReadyStep& step : ReadySteps()) {
     if (step.job_->Record()
           .spec_.steps_[static_cast<std::size_t>(step.step_)]
@@ -179,8 +170,6 @@
       PlaceStep(step, aOrders);
     }
   }
-  // Jobs that wait are looked at again with the next tick.
-  dirty_ = true;
 }
 
 bool Scheduler::MayUse(const TargetState& aTarget) const
@@ -353,7 +342,6 @@
                 { "asked", std::to_string(aAsked.size()) },
                 { "answered", aAdvice.answered_ ? "1" : "0" },
                 { "granted", std::to_string(aAdvice.granted_.size()) } });
-  MayAct();
   advice.askAgainAt_ = now + kAdvicePause;
   if (!aAdvice.answered_) {
     return;
--- a/unittests/Scheduling/SchedulerWorld.cpp
+++ b/unittests/Scheduling/SchedulerWorld.cpp
@@ -61,7 +61,6 @@
   settings.service_ = kService;
   settings.fence_ = ++revision_;
   settings.lease_ = Millis(5000);
-  settings.stopTime_ = kStopTime;
   auto scheduler = std::make_unique<Scheduler>(clock_, clock_, settings);
   scheduler->LoadRoster(roster_);
   for (auto& [id, job] : jobs_) {
