--- a/include/coltsfootshed/Scheduling/Scheduler.h
+++ b/include/coltsfootshed/Scheduling/Scheduler.h
@@ -6,11 +6,11 @@
 #define COLTSFOOTSHED_SCHEDULING_SCHEDULER_H
 
 #include "coltsfootshed/Pools/PoolPlanner.h"
+#include "coltsfootshed/Scheduling/ArrivalRate.h"
 #include "coltsfootshed/Scheduling/ImageEstimates.h"
 #include "coltsfootshed/Scheduling/TargetState.h"
 #include "coltsfootshed/Targets/Target.h"
 
-#include <deque>
 #include <memory>
 #include <span>
 #include <variant>
@@ -150,6 +150,7 @@
 
   // Answers to orders.
   void OnHold(const std::string& aTarget, const HoldAnswer& aAnswer);
+  void OnLook(const std::string& aTarget, const HoldAnswer& aAnswer);
   void OnStart(const std::string& aTarget,
                const RunKey& aRun,
                const OrderAnswer& aAnswer);
@@ -213,24 +214,31 @@
 
   Job* FindJob(std::string_view aId);
   Millis LeaseToGrant() const;
-  void CountArrival(const Job& aJob, Millis aAge);
+  double WorkOf(const JobSpec& aSpec) const;
   void AddWaiting(const Job& aJob, PoolReport& aReport) const;
-  double ArrivingCpu() const;
   ChangeNumber Touch(Job& aJob);
   void Due(Millis aAt) { nextDue_ = std::min(nextDue_, aAt); }
 
   // Holds and the life of targets.
   void DecideHolds(std::vector<SchedulerOrder>& aOrders);
+  void DecideLook(TargetState& aTarget, std::vector<SchedulerOrder>& aOrders);
+  bool TakeAnswer(TargetState& aTarget,
+                  const HoldAnswer& aAnswer,
+                  Millis aSentAt);
   HoldOrder NextHold(TargetState& aTarget);
   Millis HoldPause(const TargetState& aTarget) const;
   void OnHoldFailed(TargetState& aTarget, OrderEnd aEnd);
-  void StartNewLife(TargetState& aTarget, const HoldAnswer& aAnswer);
+  void StartNewLife(TargetState& aTarget,
+                    const HoldAnswer& aAnswer,
+                    Millis aSentAt);
   void TakeEnds(TargetState& aTarget, const HoldAnswer& aAnswer);
   void TakeEnd(TargetState& aTarget, const EndedRow& aEnd);
   void TakeRunning(TargetState& aTarget, const HoldAnswer& aAnswer);
   TaskProgress* TaskOnTarget(Job* aJob, const TaskName& aTask);
   void Adopt(TargetState& aTarget, const RunningRow& aRow);
-  void DropMissing(TargetState& aTarget, const HoldAnswer& aAnswer);
+  void DropMissing(TargetState& aTarget,
+                   const HoldAnswer& aAnswer,
+                   Millis aSentAt);
   void AcknowledgeSaved(TargetState& aTarget);
   void DropRuns(TargetState& aTarget,
                 std::string_view aReason,
@@ -238,6 +246,7 @@
   void RunIsGone(TargetState& aTarget, const RunKey& aRun);
   void DropLapsed();
   void Doubt(TargetState& aTarget, Millis aSentAt);
+  static void Trust(TargetState& aTarget, Millis aSentAt);
   void CheckReady();
   void CountOutcome(TargetState& aTarget, const std::string& aJob, bool aDone);
 
@@ -297,8 +306,7 @@
   std::map<std::string, TargetState, std::less<>> targets_;
   std::map<TaskName, StepAdvice> advice_; ///< index 0 names the step
   ImageEstimates estimates_;
-  /// Work that came lately: when, and how many core-milliseconds.
-  std::deque<std::pair<Millis, double>> arrivals_;
+  ArrivalRate arrivals_;
   bool saveInFlight_ = false;
   Millis saveAgainAt_{ 0 };
   bool rosterInFlight_ = false;
--- a/include/coltsfootshed/Scheduling/TargetState.h
+++ b/include/coltsfootshed/Scheduling/TargetState.h
@@ -89,14 +89,17 @@
   bool holdInFlight_ = false;
   Millis holdSentAt_{ 0 };
   Millis nextHoldAt_{ 0 };
+  bool lookInFlight_ = false; ///< beside a hold that waits
+  Millis lookSentAt_{ 0 };
   int failedHolds_ = 0; ///< in a row
   Millis lastAnswerAt_{ 0 };
   Millis avoidUntil_{ 0 }; ///< refused or failed work a moment ago
   /// Unanswered starts less answered ones, as far as they were sent after the
   /// one before had been judged.
   int doubts_ = 0;
-  Millis judgedAt_{ 0 };  ///< when doubts_ rose last
-  bool vacating_ = false; ///< no starts: it is to move or be maintained
+  Millis judgedAt_{ 0 };   ///< when doubts_ rose last
+  int answeredStarts_ = 0; ///< in a row since then
+  bool vacating_ = false;  ///< no starts: it is to move or be maintained
   Millis vacatingSince_{ 0 };
   std::deque<std::pair<Millis, std::string>> failures_; ///< time, job
   std::deque<Millis> successes_;
--- a/include/coltsfootshed/Targets/Target.h
+++ b/include/coltsfootshed/Targets/Target.h
@@ -71,6 +71,8 @@
   std::optional<TargetClock> leaseUntil_;
   Millis wait_{ 0 }; ///< for an end, before the answer
   bool freshConnection_ = false;
+  /// Asked beside a hold that waits: renews nothing.
+  bool isLook_ = false;
 };
 
 struct StartOrder
--- a/lib/Node/ServiceLeader.cpp
+++ b/lib/Node/ServiceLeader.cpp
@@ -290,8 +290,13 @@
   with_.targets_.Hold(
     info,
     aHold.order_,
-    guard_([this, id = aHold.target_](const HoldAnswer& aAnswer) {
-      scheduler_.OnHold(id, aAnswer);
+    guard_([this, id = aHold.target_, isLook = aHold.order_.isLook_](
+             const HoldAnswer& aAnswer) {
+      if (isLook) {
+        scheduler_.OnLook(id, aAnswer);
+      } else {
+        scheduler_.OnHold(id, aAnswer);
+      }
       if (aAnswer.end_ == OrderEnd::FenceTooLow) {
         Abdicate();
       }
--- a/lib/Pools/PoolPlanner.cpp
+++ b/lib/Pools/PoolPlanner.cpp
@@ -133,16 +133,15 @@
 int PoolPlanner::Needed(const PoolReport& aReport, const Resources& aVmSize)
 {
   // Lasting runs leave no room that new work could count on, and need none
-  // above them.
-  double cpu =
-    std::max(static_cast<double>(aReport.used_.cpu_ - aReport.lasting_.cpu_ +
-                                 aReport.waiting_.cpu_),
-             aReport.arrivingCpu_);
+  // above them. What is expected to arrive is not more certain for headroom.
+  double present = static_cast<double>(
+    aReport.used_.cpu_ - aReport.lasting_.cpu_ + aReport.waiting_.cpu_);
+  double cpu = std::max(kHeadroom * present, aReport.arrivingCpu_);
   double memory =
     static_cast<double>(aReport.used_.memory_ - aReport.lasting_.memory_ +
                         aReport.waiting_.memory_);
   double vms =
-    VmsFor(static_cast<double>(aReport.lasting_.cpu_) + kHeadroom * cpu,
+    VmsFor(static_cast<double>(aReport.lasting_.cpu_) + cpu,
            static_cast<double>(aReport.lasting_.memory_) + kHeadroom * memory,
            aVmSize);
   return std::max(static_cast<int>(std::ceil(vms)) + kReserve,
--- a/lib/Scheduling/Scheduler.cpp
+++ b/lib/Scheduling/Scheduler.cpp
@@ -3,8 +3,6 @@
 #include "coltsfootshed/Observe/DecisionLog.h"
 
 #include <algorithm>
-#include <array>
-#include <cmath>
 
 namespace coltsfootshed {
 
@@ -13,13 +11,8 @@
 static constexpr RunNumber kRunsPerFence = 1 << 20;
 /// Longest that Decide() waits for nothing.
 static constexpr Millis kLongestPause{ 1000 };
-/// Spans over which arriving work is averaged, short against the seconds for
-/// which one queue asks for several times its mean. The shortest one shows a
-/// rise first, the longest one is the surest.
-static constexpr std::array kArrivalWindows = { Millis(100),
-                                                Millis(200),
-                                                Millis(500) };
-static constexpr Millis kArrivalWindow = kArrivalWindows.back();
+/// Older jobs were counted by an earlier scheduler.
+static constexpr Millis kArrivalAge{ 500 };
 /// Shares of the waiting work of jobs that are late, and of those that are
 /// worth nothing any more, for which a pool holds VMs: they are finished with
 /// the room that is there, and some more, so that none waits for long.
@@ -94,7 +87,9 @@
       neededLabels_.insert(step.label_);
     }
   }
-  CountArrival(*job, age);
+  if (age < kArrivalAge) {
+    arrivals_.Add(clock_.Now(), WorkOf(job->Record().spec_));
+  }
   jobs_.emplace(id, std::move(job));
   if (lateCancels_.erase(id) > 0) {
     CancelJob(id);
@@ -191,32 +186,20 @@
   return ended;
 }
 
-/// Core-milliseconds of one run of all steps, as thousandths of a core times
-/// milliseconds over a thousand.
-static double WorkOf(const JobSpec& aSpec)
+/// Thousandths of a core times milliseconds of one run of all steps.
+double Scheduler::WorkOf(const JobSpec& aSpec) const
 {
   double work = 0;
   for (const StepSpec& step : aSpec.steps_) {
     if (!step.lasting_ && !step.fills_) {
       work += static_cast<double>(step.tasks_) *
-              static_cast<double>(step.each_.cpu_) / 1000.0 *
-              static_cast<double>(step.estimate_.count());
+              static_cast<double>(step.each_.cpu_) *
+              static_cast<double>(EstimateOf(step).count());
     }
   }
   return work;
 }
 
-void Scheduler::CountArrival(const Job& aJob, Millis aAge)
-{
-  Millis now = clock_.Now();
-  if (aAge < kArrivalWindow) {
-    arrivals_.emplace_back(now, WorkOf(aJob.Record().spec_));
-  }
-  while (!arrivals_.empty() && arrivals_.front().first < now - kArrivalWindow) {
-    arrivals_.pop_front();
-  }
-}
-
 PoolReport Scheduler::Report() const
 {
   PoolReport report;
@@ -244,7 +227,7 @@
     }
     report.targets_.push_back(std::move(use));
   }
-  report.arrivingCpu_ = ArrivingCpu();
+  report.arrivingCpu_ = arrivals_.Expected(clock_.Now());
   for (const auto& [id, job] : jobs_) {
     if (!job->IsEnded()) {
       AddWaiting(*job, report);
@@ -253,29 +236,6 @@
   return report;
 }
 
-/// Thousandths of a core that arriving work keeps busy: the highest of some
-/// spans' rates, each but the longest less its standard error, so that a few
-/// jobs that come together by chance are not taken for a rise.
-double Scheduler::ArrivingCpu() const
-{
-  Millis now = clock_.Now();
-  double highest = 0;
-  for (Millis window : kArrivalWindows) {
-    double sum = 0;
-    double squares = 0;
-    for (const auto& [at, work] : arrivals_) {
-      if (at >= now - window) {
-        sum += work;
-        squares += work * work;
-      }
-    }
-    double error = window == kArrivalWindow ? 0 : std::sqrt(squares);
-    highest = std::max(
-      highest, 1000.0 * (sum - error) / static_cast<double>(window.count()));
-  }
-  return highest;
-}
-
 static double ShareOf(Prospect aProspect)
 {
   switch (aProspect) {
--- a/lib/Scheduling/SchedulerHolds.cpp
+++ b/lib/Scheduling/SchedulerHolds.cpp
@@ -27,6 +27,9 @@
 /// The target lists at most this many ends at a time, from the protocol.
 static constexpr std::size_t kMostEnds = 500;
 
+/// Pause between looks beside a hold that waits.
+static constexpr Millis kLookPause{ 30 };
+
 static bool AnyRun(const RunState&)
 {
   return true;
@@ -100,7 +103,11 @@
   for (auto& [id, target] : targets_) {
     bool matters = target.registered_ || !target.runs_.empty() ||
                    (target.inRoster_ && !target.held_ && !ready_);
-    if (target.holdInFlight_ || !matters) {
+    if (target.holdInFlight_) {
+      DecideLook(target, aOrders);
+      continue;
+    }
+    if (!matters) {
       continue;
     }
     if (now < target.nextHoldAt_) {
@@ -113,6 +120,41 @@
   }
 }
 
+/// True if it has to be found out whether a run is there: its start has no
+/// answer, or it was stopped after the hold under way had been sent.
+static bool IsUncertain(const TargetState& aTarget, const RunState& aRun)
+{
+  return aRun.phase_ == RunPhase::Unknown ||
+         (aRun.phase_ == RunPhase::Stopping &&
+          aRun.nextOrderAt_ == Millis::max() &&
+          aRun.answeredAt_ >= aTarget.holdSentAt_);
+}
+
+/// A hold that waits may tell of a missing run late: its task would start
+/// elsewhere only then.
+void Scheduler::DecideLook(TargetState& aTarget,
+                           std::vector<SchedulerOrder>& aOrders)
+{
+  bool uncertain = std::any_of(
+    aTarget.runs_.begin(), aTarget.runs_.end(), [&](const auto& aEntry) {
+      return IsUncertain(aTarget, aEntry.second);
+    });
+  if (!uncertain || aTarget.lookInFlight_ || !aTarget.held_) {
+    return;
+  }
+  Millis now = clock_.Now();
+  if (now < aTarget.lookSentAt_ + kLookPause) {
+    Due(aTarget.lookSentAt_ + kLookPause);
+    return;
+  }
+  aTarget.lookInFlight_ = true;
+  aTarget.lookSentAt_ = now;
+  HoldOrder look;
+  look.fence_ = settings_.fence_;
+  look.isLook_ = true;
+  aOrders.emplace_back(TargetHold{ aTarget.info_.id_, look });
+}
+
 static bool HasHarmRisk(const TargetState& aTarget)
 {
   bool serves = false;
@@ -184,24 +226,11 @@
                 { "silent_ms", Text((now - target.lastAnswerAt_).count()) } });
   }
   target.failedHolds_ = 0;
-  target.lastAnswerAt_ = now;
-  if (aAnswer.born_ != target.born_) {
-    StartNewLife(target, aAnswer);
-  }
-  // The clock was read after the hold was sent and before now.
-  target.clockRead_ = aAnswer.clock_;
-  target.clockReadAt_ = now;
   bool first = !target.held_;
-  target.held_ = true;
-  if (first) {
-    // What an earlier scheduler may have granted until now.
-    target.leaseGranted_ =
-      std::max(target.leaseGranted_, aAnswer.clock_ + settings_.lease_.count());
+  if (!TakeAnswer(target, aAnswer, target.holdSentAt_)) {
+    target.nextHoldAt_ = now;
+    return;
   }
-  TakeEnds(target, aAnswer);
-  TakeRunning(target, aAnswer);
-  DropMissing(target, aAnswer);
-  AcknowledgeSaved(target);
   target.nextHoldAt_ = now + HoldPause(target);
   if (!aAnswer.ended_.empty() && target.unsaved_.empty()) {
     target.nextHoldAt_ = now; // acknowledges them
@@ -212,6 +241,56 @@
   }
 }
 
+void Scheduler::OnLook(const std::string& aTarget, const HoldAnswer& aAnswer)
+{
+  auto found = targets_.find(aTarget);
+  if (found == targets_.end()) {
+    return;
+  }
+  TargetState& target = found->second;
+  target.lookInFlight_ = false;
+  if (aAnswer.end_ == OrderEnd::Done) {
+    TakeAnswer(target, aAnswer, target.lookSentAt_);
+  } else if (aAnswer.end_ == OrderEnd::FenceTooLow ||
+             aAnswer.end_ == OrderEnd::WrongTarget) {
+    OnHoldFailed(target, aAnswer.end_);
+  }
+}
+
+/// Takes in what a target says of itself. Answers on different connections
+/// overtake each other: false if a later one was taken in before.
+bool Scheduler::TakeAnswer(TargetState& aTarget,
+                           const HoldAnswer& aAnswer,
+                           Millis aSentAt)
+{
+  bool overlaps = aTarget.lastAnswerAt_ > aSentAt;
+  bool older =
+    aAnswer.born_ < aTarget.born_ ||
+    (aAnswer.born_ == aTarget.born_ && aAnswer.clock_ <= aTarget.clockRead_);
+  if (overlaps && older) {
+    return false;
+  }
+  Millis now = clock_.Now();
+  aTarget.lastAnswerAt_ = now;
+  if (aAnswer.born_ != aTarget.born_) {
+    StartNewLife(aTarget, aAnswer, aSentAt);
+  }
+  // The clock was read after the question was sent and before now.
+  aTarget.clockRead_ = aAnswer.clock_;
+  aTarget.clockReadAt_ = now;
+  if (!aTarget.held_) {
+    aTarget.held_ = true;
+    // What an earlier scheduler may have granted until now.
+    aTarget.leaseGranted_ = std::max(aTarget.leaseGranted_,
+                                     aAnswer.clock_ + settings_.lease_.count());
+  }
+  TakeEnds(aTarget, aAnswer);
+  TakeRunning(aTarget, aAnswer);
+  DropMissing(aTarget, aAnswer, aSentAt);
+  AcknowledgeSaved(aTarget);
+  return true;
+}
+
 void Scheduler::OnHoldFailed(TargetState& aTarget, OrderEnd aEnd)
 {
   Millis now = clock_.Now();
@@ -243,7 +322,9 @@
     now + std::min(kLongFailedPause, kFailedPause * (aTarget.failedHolds_ - 1));
 }
 
-void Scheduler::StartNewLife(TargetState& aTarget, const HoldAnswer& aAnswer)
+void Scheduler::StartNewLife(TargetState& aTarget,
+                             const HoldAnswer& aAnswer,
+                             Millis aSentAt)
 {
   LogBelief("target-life",
             { { "target", aTarget.info_.id_ },
@@ -254,8 +335,7 @@
     // Starts without an answer, or answered after the question, may have
     // reached the new life.
     DropRuns(aTarget, "new life", [&](const RunState& aRun) {
-      return aRun.answeredAt_ > Millis(0) &&
-             aRun.answeredAt_ < aTarget.holdSentAt_ &&
+      return aRun.answeredAt_ > Millis(0) && aRun.answeredAt_ < aSentAt &&
              aRun.phase_ != RunPhase::Unknown;
     });
   }
@@ -421,7 +501,9 @@
 
 /// Drops runs that the target neither runs nor lists as ended, although their
 /// start was answered before it was asked.
-void Scheduler::DropMissing(TargetState& aTarget, const HoldAnswer& aAnswer)
+void Scheduler::DropMissing(TargetState& aTarget,
+                            const HoldAnswer& aAnswer,
+                            Millis aSentAt)
 {
   if (aAnswer.ended_.size() >= kMostEnds) {
     return;
@@ -435,8 +517,7 @@
     bool answered =
       run.phase_ == RunPhase::Running ||
       (run.phase_ == RunPhase::Stopping && run.answeredAt_ > Millis(0));
-    if (answered && run.answeredAt_ < aTarget.holdSentAt_ &&
-        listed.count(key) == 0) {
+    if (answered && run.answeredAt_ < aSentAt && listed.count(key) == 0) {
       missing.push_back(key);
     }
   }
--- a/lib/Scheduling/SchedulerOrders.cpp
+++ b/lib/Scheduling/SchedulerOrders.cpp
@@ -10,7 +10,7 @@
 /// Percent of a lasting task that has finished its startup.
 static constexpr int kAtWork = 100;
 /// Pause before an order without an answer is sent again.
-static constexpr Millis kOrderRetry{ 300 };
+static constexpr Millis kOrderRetry{ 100 };
 /// A start without an answer is looked for this long before it is stopped.
 static constexpr Millis kLookFirst{ 100 };
 /// Runs of jobs that are not known yet are spared this long: news of a job may
@@ -24,6 +24,7 @@
 /// ones are only sent one by one.
 static constexpr Millis kDoubtPause{ 500 };
 static constexpr int kMostDoubts = 5;
+static constexpr int kTrustAfter = 3;
 /// A task with no room elsewhere is stopped all the same, as far as its step
 /// may miss it, when its target has waited this long to be emptied.
 static constexpr Millis kPatience{ 3000 };
@@ -204,6 +205,7 @@
   Millis now = clock_.Now();
   aTarget.judgedAt_ = now;
   aTarget.doubts_ = std::min(aTarget.doubts_ + 1, kMostDoubts);
+  aTarget.answeredStarts_ = 0;
   if (aTarget.doubts_ > 1) {
     aTarget.avoidUntil_ = std::max(
       aTarget.avoidUntil_, now + kDoubtPause * (1 << (aTarget.doubts_ - 2)));
@@ -216,6 +218,17 @@
                   std::max(Millis(0), aTarget.avoidUntil_ - now).count()) } });
 }
 
+/// Some starts in a row that were answered take one doubt away: a target may
+/// leave only a share of them unanswered.
+void Scheduler::Trust(TargetState& aTarget, Millis aSentAt)
+{
+  if (aTarget.doubts_ > 0 && aSentAt >= aTarget.judgedAt_ &&
+      ++aTarget.answeredStarts_ >= kTrustAfter) {
+    --aTarget.doubts_;
+    aTarget.answeredStarts_ = 0;
+  }
+}
+
 void Scheduler::OnStart(const std::string& aTarget,
                         const RunKey& aRun,
                         const OrderAnswer& aAnswer)
@@ -237,8 +250,7 @@
   if (aAnswer.end_ == OrderEnd::Done) {
     run->phase_ = RunPhase::Running;
     run->answeredAt_ = now;
-    target.doubts_ -=
-      target.doubts_ > 0 && run->sentAt_ >= target.judgedAt_ ? 1 : 0;
+    Trust(target, run->sentAt_);
     if (Job* job = FindJob(aRun.first.job_)) {
       job->Begin();
     }
--- a/unittests/Scheduling/SchedulerTest.cpp
+++ b/unittests/Scheduling/SchedulerTest.cpp
@@ -32,6 +32,8 @@
   CPPUNIT_TEST(AnOverloadedPoolServesWhatCanBeInTime);
   CPPUNIT_TEST(DoubtedTargetsAreTriedOneByOne);
   CPPUNIT_TEST(ARiseOfArrivalsShowsAtOnce);
+  CPPUNIT_TEST(ALostStartIsFoundOutBesideTheHold);
+  CPPUNIT_TEST(AnOvertakenAnswerIsDropped);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -307,9 +309,9 @@
     Register("t1");
     Decide();
     Hold("t1", {});
-    scheduler_->AddJob(Wide("00000000000000aa", 4, Millis(9000)), kFence + 1);
+    scheduler_->AddJob(Wide("00000000000000aa", 8, Millis(9000)), kFence + 1);
     auto first = Of<TargetStart>(Step());
-    CPPUNIT_ASSERT_EQUAL(std::size_t(4), first.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(8), first.size());
     clock_.Advance(Millis(400));
     for (const TargetStart& start : first) {
       Unanswered(start);
@@ -319,10 +321,14 @@
     for (int i = 0; i < 20 && next.empty(); ++i) {
       next = Of<TargetStart>(Step());
     }
-    CPPUNIT_ASSERT_EQUAL(std::size_t(1), next.size());
-    CPPUNIT_ASSERT(Of<TargetStart>(Step()).empty());
-    Started(next[0]);
-    CPPUNIT_ASSERT_EQUAL(std::size_t(3), Of<TargetStart>(Step()).size());
+    constexpr int kAnswered = 3;
+    for (int i = 0; i < kAnswered; ++i) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), next.size());
+      CPPUNIT_ASSERT(Of<TargetStart>(Step()).empty());
+      Started(next[0]);
+      next = Of<TargetStart>(Step());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(5), next.size());
   }
 
   void ARiseOfArrivalsShowsAtOnce()
@@ -337,16 +343,73 @@
     double rate = kEachCpu * 0.5 / (static_cast<double>(kApart.count()) / 1000);
     double shown = scheduler_->Report().arrivingCpu_;
     CPPUNIT_ASSERT(shown > 0.5 * rate);
-    CPPUNIT_ASSERT(shown <= rate);
+    CPPUNIT_ASSERT(shown <= 2 * rate); // it may still rise
     // One job alone is no rise.
     setUp();
     scheduler_->AddJob(Wide("00000000000000c0", 8, {}), kFence + 1);
     CPPUNIT_ASSERT(scheduler_->Report().arrivingCpu_ <= kEachCpu);
   }
 
+  /// A hold that waited told of the missing run up to 700 ms late, and with
+  /// lost orders a task waited for two seconds.
+  void ALostStartIsFoundOutBesideTheHold()
+  {
+    TargetStart lost = StartBesideHold();
+    Unanswered(lost);
+    std::vector<TargetStart> again;
+    for (int i = 0; i < 20 && again.empty(); ++i) {
+      Orders orders = Step();
+      for (const TargetHold& hold : Of<TargetHold>(orders)) {
+        CPPUNIT_ASSERT(hold.order_.isLook_);
+        CPPUNIT_ASSERT(!hold.order_.leaseUntil_.has_value());
+        Answer(hold, Listed({ firstRow_ }));
+      }
+      for (const TargetStop& stop : Of<TargetStop>(orders)) {
+        scheduler_->OnStop(stop.target_,
+                           { stop.order_.task_, stop.order_.run_ },
+                           { OrderEnd::Done, {} });
+      }
+      again = Of<TargetStart>(orders);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), again.size());
+    CPPUNIT_ASSERT(again[0].order_.task_ == lost.order_.task_);
+  }
+
+  /// The hold was answered before the look, and arrives after it.
+  void AnOvertakenAnswerIsDropped()
+  {
+    TargetStart second = StartBesideHold();
+    HoldAnswer old = Listed({ firstRow_ });
+    Unanswered(second);
+    auto looks = Of<TargetHold>(Step());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), looks.size());
+    HoldAnswer now = Listed({});
+    now.ended_.push_back(
+      { 1, firstRow_.task_, firstRow_.run_, RunEnd::Done, "" });
+    now.running_.push_back(
+      { second.order_.task_, second.order_.run_, "", 10, 0 });
+    Answer(looks[0], now);
+    scheduler_->OnHold("t1", old);
+    PoolReport report = scheduler_->Report();
+    CPPUNIT_ASSERT_EQUAL(1, report.targets_.at(0).runs_);
+  }
+
 private:
   using Orders = std::vector<SchedulerOrder>;
 
+  /// Starts a second task while the hold for the first one waits.
+  TargetStart StartBesideHold()
+  {
+    TargetStart first = StartOne();
+    firstRow_ = { first.order_.task_, first.order_.run_, "", 10, 0 };
+    Step();
+    scheduler_->AddJob(Wide("00000000000000bb", 1, Millis(9000)), kFence + 1);
+    auto starts = Of<TargetStart>(Step());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), starts.size());
+    clock_.Advance(Millis(200));
+    return starts[0];
+  }
+
   struct OverloadResult
   {
     int jobs_ = 0;
@@ -565,6 +628,15 @@
     scheduler_->OnHold(aTarget, Listed(std::move(aRunning)));
   }
 
+  void Answer(const TargetHold& aHold, const HoldAnswer& aAnswer)
+  {
+    if (aHold.order_.isLook_) {
+      scheduler_->OnLook(aHold.target_, aAnswer);
+    } else {
+      scheduler_->OnHold(aHold.target_, aAnswer);
+    }
+  }
+
   void Started(const TargetStart& aStart)
   {
     scheduler_->OnStart(aStart.target_,
@@ -613,8 +685,7 @@
       clock_.Advance(Millis(50));
       Orders orders = Decide();
       for (const TargetHold& hold : Of<TargetHold>(orders)) {
-        scheduler_->OnHold(hold.target_,
-                           hold.target_ == aTarget ? none : Listed({}));
+        Answer(hold, hold.target_ == aTarget ? none : Listed({}));
       }
       for (const TargetStart& start : Of<TargetStart>(orders)) {
         starts.push_back(start);
@@ -654,6 +725,7 @@
 
   ManualClock clock_;
   bool saves_ = false; ///< the store takes progress
+  RunningRow firstRow_;
   std::unique_ptr<Scheduler> scheduler_;
 };
 
--- a/unittests/Scheduling/SchedulerWorld.cpp
+++ b/unittests/Scheduling/SchedulerWorld.cpp
@@ -602,7 +602,12 @@
   }
   const std::string& target = aReply.call_.target_;
   if (const auto* hold = std::get_if<HoldAnswer>(&aReply.answer_)) {
-    scheduler->OnHold(target, *hold);
+    const auto& order = std::get<HoldOrder>(aReply.call_.order_);
+    if (order.isLook_) {
+      scheduler->OnLook(target, *hold);
+    } else {
+      scheduler->OnHold(target, *hold);
+    }
     return;
   }
   const auto& answer = std::get<OrderAnswer>(aReply.answer_);
