--- a/include/coltsfootshed/Scheduling/Scheduler.h
+++ b/include/coltsfootshed/Scheduling/Scheduler.h
@@ -287,6 +287,7 @@
 
   // Saving.
   void DecideSaves(std::vector<SchedulerOrder>& aOrders);
+  std::vector<std::string> NextToSave() const;
   void DecideRoster(std::vector<SchedulerOrder>& aOrders);
 
   const Clock& clock_;
@@ -300,14 +301,20 @@
   ChangeNumber change_ = 0;
   RunNumber nextRun_;
   std::map<std::string, std::unique_ptr<Job>, std::less<>> jobs_;
-  std::set<std::string> unsavedJobs_;
+  /// A job with changes that are not saved.
+  struct Unsaved
+  {
+    ChangeNumber since_ = 0; ///< its oldest change after the last save
+    bool inFlight_ = false;
+  };
+  std::map<std::string, Unsaved, std::less<>> unsaved_;
   std::set<std::string> neededLabels_; ///< by steps of any job so far
   std::set<std::string> lateCancels_;  ///< cancelled before they were known
   std::map<std::string, TargetState, std::less<>> targets_;
   std::map<TaskName, StepAdvice> advice_; ///< index 0 names the step
   ImageEstimates estimates_;
   ArrivalRate arrivals_;
-  bool saveInFlight_ = false;
+  int savesInFlight_ = 0;
   Millis saveAgainAt_{ 0 };
   bool rosterInFlight_ = false;
   bool rosterStale_ = false;
--- a/lib/Scheduling/Scheduler.cpp
+++ b/lib/Scheduling/Scheduler.cpp
@@ -23,6 +23,10 @@
 /// Progress entries a transaction; each has a put and a condition, and one
 /// condition is the leader's key.
 static constexpr std::size_t kMostSaves = 15;
+/// Transactions under way at once, when more changes than fit into one. Each
+/// takes the store some 10 ms, so that this many carry the ends of 5,000 tasks
+/// a second.
+static constexpr int kMostSavesInFlight = 4;
 
 Scheduler::Scheduler(const Clock& aClock,
                      const Clock& aTimeOfDay,
@@ -63,7 +67,7 @@
 ChangeNumber Scheduler::Touch(Job& aJob)
 {
   aJob.changed_ = ++change_;
-  unsavedJobs_.insert(aJob.Record().id_);
+  unsaved_.try_emplace(aJob.Record().id_, Unsaved{ change_ });
   return aJob.changed_;
 }
 
@@ -144,7 +148,7 @@
   if (found == jobs_.end() || !found->second->IsEnded()) {
     return;
   }
-  unsavedJobs_.erase(found->first);
+  unsaved_.erase(found->first);
   jobs_.erase(found);
 }
 
@@ -314,31 +318,63 @@
   return orders;
 }
 
+/// The jobs of one transaction: those that have ended first, as their clients
+/// wait for it, then those whose changes have waited longest.
+std::vector<std::string> Scheduler::NextToSave() const
+{
+  std::vector<std::tuple<bool, ChangeNumber, std::string_view>> waiting;
+  for (const auto& [id, unsaved] : unsaved_) {
+    if (!unsaved.inFlight_) {
+      waiting.emplace_back(!jobs_.at(id)->IsEnded(), unsaved.since_, id);
+    }
+  }
+  auto count = std::min(waiting.size(), kMostSaves);
+  std::partial_sort(waiting.begin(),
+                    waiting.begin() + static_cast<std::ptrdiff_t>(count),
+                    waiting.end());
+  std::vector<std::string> next;
+  for (std::size_t i = 0; i < count; ++i) {
+    next.emplace_back(std::get<std::string_view>(waiting[i]));
+  }
+  return next;
+}
+
 void Scheduler::DecideSaves(std::vector<SchedulerOrder>& aOrders)
 {
-  if (saveInFlight_ || unsavedJobs_.empty()) {
+  if (unsaved_.empty()) {
     return;
   }
   if (clock_.Now() < saveAgainAt_) {
     Due(saveAgainAt_);
     return;
   }
-  SaveProgress save;
-  for (const std::string& id : unsavedJobs_) {
-    const Job& job = *jobs_.at(id);
-    save.entries_.push_back(
-      { id, job.EncodeProgress(), job.progressRevision_, job.changed_ });
-    if (save.entries_.size() == kMostSaves) {
-      break;
+  while (savesInFlight_ < kMostSavesInFlight) {
+    std::vector<std::string> next = NextToSave();
+    // A few changes wait for the transaction under way: each call is priced.
+    if (next.empty() || (savesInFlight_ > 0 && next.size() < kMostSaves)) {
+      return;
+    }
+    SaveProgress save;
+    for (const std::string& id : next) {
+      const Job& job = *jobs_.at(id);
+      save.entries_.push_back(
+        { id, job.EncodeProgress(), job.progressRevision_, job.changed_ });
+      unsaved_.at(id).inFlight_ = true;
     }
+    ++savesInFlight_;
+    aOrders.emplace_back(std::move(save));
   }
-  saveInFlight_ = true;
-  aOrders.emplace_back(std::move(save));
 }
 
 void Scheduler::OnSaved(const SaveProgress& aSave, Revision aRevision)
 {
-  saveInFlight_ = false;
+  --savesInFlight_;
+  for (const SaveProgress::Entry& entry : aSave.entries_) {
+    auto unsaved = unsaved_.find(entry.job_);
+    if (unsaved != unsaved_.end()) {
+      unsaved->second.inFlight_ = false;
+    }
+  }
   if (aRevision == 0) {
     saveAgainAt_ = clock_.Now() + kSaveRetry;
     Due(saveAgainAt_);
@@ -352,7 +388,9 @@
     job->saved_ = entry.change_;
     job->progressRevision_ = aRevision;
     if (job->saved_ >= job->changed_) {
-      unsavedJobs_.erase(entry.job_);
+      unsaved_.erase(entry.job_);
+    } else {
+      unsaved_.at(entry.job_).since_ = job->changed_;
     }
   }
   for (auto& [id, target] : targets_) {
--- a/unittests/Scheduling/SchedulerTest.cpp
+++ b/unittests/Scheduling/SchedulerTest.cpp
@@ -34,6 +34,8 @@
   CPPUNIT_TEST(ARiseOfArrivalsShowsAtOnce);
   CPPUNIT_TEST(ALostStartIsFoundOutBesideTheHold);
   CPPUNIT_TEST(AnOvertakenAnswerIsDropped);
+  CPPUNIT_TEST(ChangesAreSavedByAge);
+  CPPUNIT_TEST(EndedJobsAreSavedFirst);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -394,9 +396,57 @@
     CPPUNIT_ASSERT_EQUAL(1, report.targets_.at(0).runs_);
   }
 
+  /// trouble-1 on psig-shed-grown: with 1,500 ends a second, jobs with high
+  /// ids were shown as complete seconds after they had ended.
+  void ChangesAreSavedByAge()
+  {
+    constexpr int kJobs = 40;
+    for (int i = 0; i < kJobs; ++i) {
+      scheduler_->AddJob(Wide(NumberedId(i), 1, {}), kFence + 1);
+    }
+    for (int i = kJobs - 1; i >= 0; --i) {
+      scheduler_->CancelJob(NumberedId(i));
+    }
+    auto saves = Of<SaveProgress>(scheduler_->Decide());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), saves.size());
+    int expected = kJobs;
+    for (const SaveProgress& save : saves) {
+      for (const SaveProgress::Entry& entry : save.entries_) {
+        CPPUNIT_ASSERT_EQUAL(NumberedId(--expected), entry.job_);
+      }
+    }
+    // The rest waits for a transaction under way.
+    CPPUNIT_ASSERT(Of<SaveProgress>(scheduler_->Decide()).empty());
+    scheduler_->OnSaved(saves[0], 99);
+    scheduler_->OnSaved(saves[1], 99);
+    auto rest = Of<SaveProgress>(scheduler_->Decide());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), rest.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(10), rest[0].entries_.size());
+  }
+
+  void EndedJobsAreSavedFirst()
+  {
+    JobRecord timed = TimedRecord();
+    timed.id_ = NumberedId(0);
+    scheduler_->AddJob(timed, kFence + 1);
+    Decide(); // its occurrences are not saved at the first attempt
+    scheduler_->AddJob(Wide(NumberedId(1), 1, {}), kFence + 1);
+    scheduler_->CancelJob(NumberedId(1));
+    clock_.Advance(Millis(150));
+    auto saves = Of<SaveProgress>(scheduler_->Decide());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), saves.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), saves[0].entries_.size());
+    CPPUNIT_ASSERT_EQUAL(NumberedId(1), saves[0].entries_[0].job_);
+  }
+
 private:
   using Orders = std::vector<SchedulerOrder>;
 
+  static std::string NumberedId(int aNumber)
+  {
+    return std::to_string(1000000000000000 + aNumber);
+  }
+
   /// Starts a second task while the hold for the first one waits.
   TargetStart StartBesideHold()
   {
@@ -447,7 +497,7 @@
            (!open.empty() && clock_.Now() < giveUp)) {
       clock_.Advance(Millis(10));
       while (nextJob <= clock_.Now() && nextJob < begin + aTurn) {
-        std::string id = std::to_string(1000000000000000 + result.jobs_);
+        std::string id = NumberedId(result.jobs_);
         JobRecord record = Wide(id, 8, aObjective - aTask);
         record.spec_.steps_[0].estimate_ = aTask;
         scheduler_->AddJob(record, kFence + 1);
