VM orders are saved before they are given; rosters without emptied targets

The pool manager had been cut off; its successor waited 3 s more so as not to order VMs in turns with it, as after each final fault. And a new service leader waited 5.2 s for each target of the roster that no longer answers, which VMs that had just been moved away always are.

Ruled out: giving orders while the store is away (moved targets could not register there).

Change: a manager saves which VMs it is about to order, by whom and for which wave, then orders; a successor leaves just these alone for the time in which VMs may not be ordered in turns, and counts their maintenance as down. Targets that answered, have no runs and are to be emptied leave the roster. Jobs that become known together are counted as arrivals at their own times.

Tests that failed first: OrdersOfAnEarlierManagerCountAsDown, WhatIsListedAsDownCounts.

--- a/include/coltsfootshed/Node/LeaderTable.h
+++ b/include/coltsfootshed/Node/LeaderTable.h
@@ -44,8 +44,6 @@
   void SetDuties(std::set<std::string> aDuties);
   /// Where a duty is led, or null.
   const Leadership* LeaderOf(std::string_view aDuty) const;
-  /// The VM that led a duty before its present leader, or an empty text.
-  std::string PreviousLeader(const std::string& aDuty) const;
   std::optional<Endpoint> PeersOf(std::string_view aNode) const;
   /// All entry VMs that are known, and where each serves others.
   std::vector<std::pair<std::string, Endpoint>> Members() const;
@@ -102,7 +100,6 @@
   std::map<std::string, Revision> abandoned_; ///< fences found too low
   std::map<std::string, Millis> vacantSince_;
   std::map<std::string, std::string> lastLeader_; ///< of vacant duties too
-  std::map<std::string, std::string> previousLeader_;
   std::set<std::string> campaigning_;
   PrefixFollower follower_;
 };
--- a/include/coltsfootshed/Node/PoolManager.h
+++ b/include/coltsfootshed/Node/PoolManager.h
@@ -24,12 +24,12 @@
     const WireFormat& format_;
   };
 
-  /// aFence: revision of the leader's key. Orders begin after aQuiet, so that
-  /// an earlier manager's have ended.
+  /// aFence: revision of the leader's key. VMs that an earlier manager may have
+  /// ordered lately are ordered after aTurn.
   PoolManager(Dependencies aDependencies,
               std::string aNode,
               Fence aFence,
-              Millis aQuiet);
+              Millis aTurn);
   PoolManager(const PoolManager&) = delete;
   PoolManager& operator=(const PoolManager&) = delete;
 
@@ -37,27 +37,37 @@
   void SetWave(const WaveConfig& aWave);
 
 private:
+  /// The last order for a VM.
+  struct LastOrder
+  {
+    std::string holder_;
+    std::int64_t wave_ = 0; ///< 0: a move
+    Millis at_{ 0 };
+  };
+
   void Load();
   void Tick();
   void ListVms();
   void Gather();
   void Decide();
   void Carry(const PoolOrder& aOrder);
+  void Show(const ShowWave& aShow);
   void OnOrderEnd(const std::string& aVm, VmOrderEnd aEnd);
-  void SaveWaves();
+  void LoadSaved(const std::string& aText);
+  void Save(std::vector<PoolOrder> aOrders);
+  void OnSaved(const CommitResult& aResult,
+               std::uint64_t aChanges,
+               const std::vector<PoolOrder>& aOrders);
 
   Dependencies with_;
   std::string node_;
   Fence fence_;
-  Millis quietUntil_;
+  Millis turn_;
   PoolPlanner planner_;
   std::shared_ptr<const JobsConfig> config_;
   Timer tickTimer_;
   std::uint64_t orders_ = 0;
   bool loaded_ = false;
-  /// True once this manager has saved what is known of waves; before that no
-  /// VM is ordered, so that a successor knows of earlier orders.
-  bool claimed_ = false;
   bool fencedOff_ = false;
   bool listing_ = false;
   Millis listAt_{ 0 };
@@ -65,6 +75,7 @@
   bool saving_ = false;
   std::uint64_t savedChanges_ = 0;
   Revision savedRevision_ = 0;
+  std::map<std::string, LastOrder> orderedAt_; ///< by VM, of late
   Millis saveAt_{ 0 };
   AliveGuard guard_;
 };
--- a/include/coltsfootshed/Pools/PoolPlanner.h
+++ b/include/coltsfootshed/Pools/PoolPlanner.h
@@ -76,6 +76,10 @@
   void SetServices(std::span<const ServiceConfig> aServices);
   void SetWave(const WaveConfig& aWave);
   void SetVms(std::vector<PoolVm> aVms);
+  /// Plans nothing for a VM for some time.
+  void LeaveAlone(const std::string& aVm, Millis aTime);
+  /// An earlier manager may have ordered a VM's maintenance just now.
+  void NoteMaintenance(const std::string& aVm, std::int64_t aWave);
   void SetReport(const PoolReport& aReport);
   /// Answer to an order.
   void OnVmOrder(const std::string& aVm, VmOrderEnd aEnd);
--- a/include/coltsfootshed/Scheduling/Scheduler.h
+++ b/include/coltsfootshed/Scheduling/Scheduler.h
@@ -288,6 +288,8 @@
   // Saving.
   void DecideSaves(std::vector<SchedulerOrder>& aOrders);
   std::vector<std::string> NextToSave() const;
+  bool IsRosterNeeded(const TargetState& aTarget) const;
+  void SweepRoster();
   void DecideRoster(std::vector<SchedulerOrder>& aOrders);
 
   const Clock& clock_;
@@ -318,6 +320,7 @@
   Millis saveAgainAt_{ 0 };
   bool rosterInFlight_ = false;
   bool rosterStale_ = false;
+  Millis rosterSweepAt_{ 0 };
   Millis rosterAgainAt_{ 0 };
   std::vector<std::string> rosterSent_;
 };
--- a/lib/Node/JobsNode.cpp
+++ b/lib/Node/JobsNode.cpp
@@ -207,9 +207,7 @@
       with_.base_, with_.clock_, with_.store_, *with_.vms_, links_, format_ },
     settings_.node_,
     aRevision,
-    table_.PreviousLeader(keys::kPoolsDuty) == settings_.node_
-      ? Millis(0)
-      : settings_.machineLease_);
+    settings_.machineLease_);
   pools_->SetConfig(config_);
   for (const auto& [number, wave] : waves_) {
     pools_->SetWave(wave);
--- a/lib/Node/LeaderTable.cpp
+++ b/lib/Node/LeaderTable.cpp
@@ -70,12 +70,6 @@
   return found->second.peers_;
 }
 
-std::string LeaderTable::PreviousLeader(const std::string& aDuty) const
-{
-  auto found = previousLeader_.find(aDuty);
-  return found == previousLeader_.end() ? std::string() : found->second;
-}
-
 std::vector<std::pair<std::string, Endpoint>> LeaderTable::Members() const
 {
   std::vector<std::pair<std::string, Endpoint>> members;
@@ -271,8 +265,6 @@
   }
   std::string duty(keys::After(aItem.key_, keys::kLeaderPrefix));
   if (!duty.empty()) {
-    auto last = lastLeader_.find(duty);
-    previousLeader_[duty] = last == lastLeader_.end() ? "" : last->second;
     lastLeader_[duty] = aItem.value_;
     leaders_[duty] = { aItem.value_, aItem.revision_, aItem.lease_ };
     if (aItem.value_ == options_.node_) {
--- a/lib/Node/PoolManager.cpp
+++ b/lib/Node/PoolManager.cpp
@@ -3,6 +3,8 @@
 #include "coltsfootshed/Observe/DecisionLog.h"
 #include "coltsfootshed/Store/Keys.h"
 
+#include <nlohmann/json.hpp>
+
 namespace coltsfootshed {
 
 /// How often pools are looked at; short against the turns of demand.
@@ -12,17 +14,19 @@
 static constexpr Millis kListAfterOrder{ 500 };
 static constexpr Millis kListRetry{ 1000 };
 static constexpr Millis kSaveRetry{ 500 };
+/// Longest that an order is under way, from the client of the VM service.
+static constexpr Millis kOrderLimit{ 2000 };
 /// Tokens rise with each order, and from one manager to the next.
 static constexpr std::uint64_t kOrdersPerFence = 1 << 16;
 
 PoolManager::PoolManager(Dependencies aDependencies,
                          std::string aNode,
                          Fence aFence,
-                         Millis aQuiet)
+                         Millis aTurn)
   : with_(aDependencies)
   , node_(std::move(aNode))
   , fence_(aFence)
-  , quietUntil_(with_.clock_.Now() + aQuiet)
+  , turn_(aTurn)
   , planner_(with_.clock_)
   , tickTimer_(with_.base_, [this] { Tick(); })
 {
@@ -60,14 +64,33 @@
       loaded_ = true;
       if (aItem->has_value()) {
         savedRevision_ = (*aItem)->revision_;
-        planner_.LoadWaves((*aItem)->value_);
-      } else {
-        // No manager has given an order yet: none has claimed the VMs.
-        quietUntil_ = with_.clock_.Now();
+        LoadSaved((*aItem)->value_);
       }
     }));
 }
 
+/// What earlier managers began in waves, and which VMs they may have ordered
+/// lately: those are left alone for a while, as VMs must not be ordered by
+/// managers in turns.
+void PoolManager::LoadSaved(const std::string& aText)
+{
+  auto saved = nlohmann::json::parse(aText, nullptr, false);
+  if (!saved.is_object() || !saved.contains("waves") ||
+      !saved.contains("ordered")) {
+    LogBelief("pools-unreadable", {});
+    return;
+  }
+  planner_.LoadWaves(saved["waves"].dump());
+  for (const auto& [vm, row] : saved["ordered"].items()) {
+    LastOrder order{ row.at(0), row.at(1), with_.clock_.Now() };
+    planner_.NoteMaintenance(vm, order.wave_);
+    if (order.holder_ != node_) {
+      planner_.LeaveAlone(vm, turn_);
+    }
+    orderedAt_[vm] = std::move(order);
+  }
+}
+
 void PoolManager::Tick()
 {
   tickTimer_.Start(kTick);
@@ -87,19 +110,27 @@
   if (stuck) {
     Decide();
   }
-  bool changed = !claimed_ || planner_.WaveChanges() != savedChanges_;
+  bool changed = planner_.WaveChanges() != savedChanges_;
   if (changed && !saving_ && now >= saveAt_) {
-    SaveWaves();
+    Save({});
   }
 }
 
 void PoolManager::Decide()
 {
-  if (!claimed_ || fencedOff_ || with_.clock_.Now() < quietUntil_) {
+  if (!loaded_ || fencedOff_ || saving_) {
     return;
   }
-  for (const PoolOrder& order : planner_.Decide()) {
-    Carry(order);
+  std::vector<PoolOrder> forVms;
+  for (PoolOrder& order : planner_.Decide()) {
+    if (const auto* show = std::get_if<ShowWave>(&order)) {
+      Show(*show);
+    } else {
+      forVms.push_back(std::move(order));
+    }
+  }
+  if (!forVms.empty()) {
+    Save(std::move(forVms));
   }
 }
 
@@ -156,26 +187,28 @@
                         guard_([this, vm = maintain->vm_](VmOrderEnd aEnd) {
                           OnOrderEnd(vm, aEnd);
                         }));
-  } else if (const auto* show = std::get_if<ShowWave>(&aOrder)) {
-    Transaction transaction;
-    transaction.conditions_.push_back(
-      { keys::Leader(keys::kPoolsDuty), fence_ });
-    transaction.puts_.push_back(
-      { with_.format_.waveStatusPrefix_ + std::to_string(show->wave_),
-        with_.format_.writeWaveStatus_(show->complete_) });
-    with_.store_.Commit(
-      transaction, guard_([this, show = *show](const CommitResult& aResult) {
-        LogDecision("wave-shown",
-                    { { "wave", std::to_string(show.wave_) },
-                      { "complete", show.complete_ ? "1" : "0" },
-                      { "reason", aResult.reason_ } });
-        if (aResult.end_ != CommitEnd::Committed) {
-          planner_.ShowAgain(show.wave_);
-        }
-      }));
   }
 }
 
+void PoolManager::Show(const ShowWave& aShow)
+{
+  Transaction transaction;
+  transaction.conditions_.push_back({ keys::Leader(keys::kPoolsDuty), fence_ });
+  transaction.puts_.push_back(
+    { with_.format_.waveStatusPrefix_ + std::to_string(aShow.wave_),
+      with_.format_.writeWaveStatus_(aShow.complete_) });
+  with_.store_.Commit(
+    transaction, guard_([this, aShow](const CommitResult& aResult) {
+      LogDecision("wave-shown",
+                  { { "wave", std::to_string(aShow.wave_) },
+                    { "complete", aShow.complete_ ? "1" : "0" },
+                    { "reason", aResult.reason_ } });
+      if (aResult.end_ != CommitEnd::Committed) {
+        planner_.ShowAgain(aShow.wave_);
+      }
+    }));
+}
+
 void PoolManager::OnOrderEnd(const std::string& aVm, VmOrderEnd aEnd)
 {
   if (aEnd == VmOrderEnd::FenceTooLow) {
@@ -188,29 +221,72 @@
   listAt_ = std::min(listAt_, with_.clock_.Now() + kListAfterOrder);
 }
 
-void PoolManager::SaveWaves()
+static const std::string& VmOf(const PoolOrder& aOrder)
+{
+  const auto* move = std::get_if<MoveVm>(&aOrder);
+  return move != nullptr ? move->vm_ : std::get<MaintainVm>(aOrder).vm_;
+}
+
+/// Saves what was begun in waves and which VMs are ordered, and carries the
+/// orders out once that is durable.
+void PoolManager::Save(std::vector<PoolOrder> aOrders)
 {
   saving_ = true;
-  std::uint64_t changes = planner_.WaveChanges();
+  Millis now = with_.clock_.Now();
+  std::erase_if(orderedAt_, [&](const auto& aEntry) {
+    return now - aEntry.second.at_ > turn_ + kOrderLimit;
+  });
+  for (const PoolOrder& order : aOrders) {
+    const auto* maintain = std::get_if<MaintainVm>(&order);
+    orderedAt_[VmOf(order)] = { node_,
+                                maintain == nullptr ? 0 : maintain->wave_,
+                                now };
+  }
+  nlohmann::json ordered = nlohmann::json::object();
+  for (const auto& [vm, order] : orderedAt_) {
+    ordered[vm] = { order.holder_, order.wave_ };
+  }
+  nlohmann::json saved = { { "waves",
+                             nlohmann::json::parse(planner_.EncodeWaves()) },
+                           { "ordered", ordered } };
   Transaction transaction;
   transaction.conditions_.push_back({ keys::Leader(keys::kPoolsDuty), fence_ });
   transaction.conditions_.push_back({ keys::Pools(), savedRevision_ });
-  transaction.puts_.push_back({ keys::Pools(), planner_.EncodeWaves() });
-  with_.store_.Commit(transaction,
-                      guard_([this, changes](const CommitResult& aResult) {
-                        saving_ = false;
-                        saveAt_ = with_.clock_.Now() + kSaveRetry;
-                        if (aResult.end_ == CommitEnd::Committed) {
-                          savedRevision_ = aResult.revision_;
-                          savedChanges_ = changes;
-                          claimed_ = true;
-                        }
-                        for (const StoreItem& item : aResult.current_) {
-                          if (item.key_ == keys::Pools()) {
-                            savedRevision_ = item.revision_;
-                          }
-                        }
-                      }));
+  transaction.puts_.push_back({ keys::Pools(), saved.dump() });
+  with_.store_.Commit(
+    transaction,
+    guard_(
+      [this, changes = planner_.WaveChanges(), orders = std::move(aOrders)](
+        const CommitResult& aResult) { OnSaved(aResult, changes, orders); }));
+}
+
+void PoolManager::OnSaved(const CommitResult& aResult,
+                          std::uint64_t aChanges,
+                          const std::vector<PoolOrder>& aOrders)
+{
+  saving_ = false;
+  saveAt_ = with_.clock_.Now() + kSaveRetry;
+  bool committed = aResult.end_ == CommitEnd::Committed;
+  if (committed) {
+    savedRevision_ = aResult.revision_;
+    savedChanges_ = aChanges;
+  } else {
+    LogBelief("pools-not-saved",
+              { { "orders", std::to_string(aOrders.size()) },
+                { "reason", aResult.reason_ } });
+  }
+  for (const StoreItem& item : aResult.current_) {
+    if (item.key_ == keys::Pools()) {
+      savedRevision_ = item.revision_;
+    }
+  }
+  for (const PoolOrder& order : aOrders) {
+    if (committed) {
+      Carry(order);
+    } else {
+      planner_.OnVmOrder(VmOf(order), VmOrderEnd::Refused);
+    }
+  }
 }
 
 } // namespace coltsfootshed
--- a/lib/Pools/PoolPlanner.cpp
+++ b/lib/Pools/PoolPlanner.cpp
@@ -88,6 +88,11 @@
                 [this](const auto& aEntry) { return !FindVm(aEntry.first); });
 }
 
+void PoolPlanner::LeaveAlone(const std::string& aVm, Millis aTime)
+{
+  notBefore_[aVm] = clock_.Now() + aTime;
+}
+
 void PoolPlanner::SetReport(const PoolReport& aReport)
 {
   reports_[aReport.service_] = { aReport, clock_.Now() };
--- a/lib/Pools/PoolWaves.cpp
+++ b/lib/Pools/PoolWaves.cpp
@@ -21,14 +21,25 @@
   }
 }
 
+void PoolPlanner::NoteMaintenance(const std::string& aVm, std::int64_t aWave)
+{
+  auto wave = waves_.find(aWave);
+  if (wave != waves_.end()) {
+    wave->second.beganAt_.try_emplace(aVm, clock_.Now());
+  }
+}
+
 int PoolPlanner::DownFor(const Wave& aWave) const
 {
   Millis now = clock_.Now();
   int down = 0;
-  for (const auto& [vm, at] : aWave.beganAt_) {
+  for (const std::string& vm : aWave.config_.vms_) {
+    auto began = aWave.beganAt_.find(vm);
     const PoolVm* known = FindVm(vm);
-    bool isDown = now - at < kVmListLag ||
-                  (known != nullptr && known->phase_ == VmPhase::Maintained);
+    // The list may not show yet what has just begun.
+    bool isDown =
+      (began != aWave.beganAt_.end() && now - began->second < kVmListLag) ||
+      (known != nullptr && known->phase_ == VmPhase::Maintained);
     down += isDown ? 1 : 0;
   }
   for (const auto& [vm, plan] : plans_) {
--- a/lib/Scheduling/Scheduler.cpp
+++ b/lib/Scheduling/Scheduler.cpp
@@ -92,7 +92,9 @@
     }
   }
   if (age < kArrivalAge) {
-    arrivals_.Add(clock_.Now(), WorkOf(job->Record().spec_));
+    // After a gap jobs become known together; they did not come together.
+    arrivals_.Add(clock_.Now() - std::max(age, Millis(0)),
+                  WorkOf(job->Record().spec_));
   }
   jobs_.emplace(id, std::move(job));
   if (lateCancels_.erase(id) > 0) {
@@ -405,6 +407,20 @@
   }
 }
 
+/// True if a successor has to ask the target what runs there. A target that
+/// has answered this scheduler and has no runs can only get some from it; one
+/// that is to be emptied gets none.
+bool Scheduler::IsRosterNeeded(const TargetState& aTarget) const
+{
+  if (!aTarget.runs_.empty()) {
+    return true;
+  }
+  if (!aTarget.held_) {
+    return aTarget.registered_ || !ready_;
+  }
+  return aTarget.registered_ && !aTarget.vacating_;
+}
+
 void Scheduler::DecideRoster(std::vector<SchedulerOrder>& aOrders)
 {
   if (!rosterStale_ || rosterInFlight_) {
@@ -417,9 +433,7 @@
   SaveRoster roster;
   rosterSent_.clear();
   for (const auto& [id, target] : targets_) {
-    bool needed = target.registered_ || !target.runs_.empty() ||
-                  (target.held_ ? !target.HasLapsed(clock_.Now()) : !ready_);
-    if (needed) {
+    if (IsRosterNeeded(target)) {
       roster.targets_.push_back(target.info_);
       rosterSent_.push_back(id);
     }
--- a/lib/Scheduling/SchedulerHolds.cpp
+++ b/lib/Scheduling/SchedulerHolds.cpp
@@ -24,6 +24,9 @@
 static constexpr Millis kLongFailedPause{ 1000 };
 /// A hold is not delayed longer than this by ends that are not saved yet.
 static constexpr Millis kSavePause{ 200 };
+/// Pause between checks for targets that can leave the roster; each change is
+/// a call to the store.
+static constexpr Millis kRosterSweep{ 300 };
 /// The target lists at most this many ends at a time, from the protocol.
 static constexpr std::size_t kMostEnds = 500;
 
@@ -93,6 +96,8 @@
     if (vacates && !target.vacating_) {
       target.vacatingSince_ = clock_.Now();
     }
+    // One that is not to be emptied after all needs its place in the roster.
+    rosterStale_ |= target.vacating_ && !vacates && !target.inRoster_;
     target.vacating_ = vacates;
   }
 }
@@ -391,9 +396,21 @@
     if (lapsed && !target.runs_.empty()) {
       DropRuns(target, "lease lapsed without an answer", AnyRun);
     }
-    // Nothing can be there any more: a new scheduler need not wait for it.
-    rosterStale_ |= !target.registered_ && target.inRoster_ &&
-                    target.runs_.empty() && (target.held_ ? lapsed : ready_);
+  }
+  SweepRoster();
+}
+
+/// A successor waits for each target of the roster that does not answer, so
+/// those that were left go soon.
+void Scheduler::SweepRoster()
+{
+  Millis now = clock_.Now();
+  if (now < rosterSweepAt_) {
+    return;
+  }
+  rosterSweepAt_ = now + kRosterSweep;
+  for (const auto& [id, target] : targets_) {
+    rosterStale_ |= target.inRoster_ != IsRosterNeeded(target);
   }
 }
 
--- a/unittests/Pools/PoolPlannerTest.cpp
+++ b/unittests/Pools/PoolPlannerTest.cpp
@@ -29,6 +29,9 @@
   CPPUNIT_TEST(ALackedVmIsNotKeptEmptyForLong);
   CPPUNIT_TEST(WhatIsMaintainedIsReplaced);
   CPPUNIT_TEST(LastingLoadNeedsNoHeadroom);
+  CPPUNIT_TEST(OrdersOfAnEarlierManagerCountAsDown);
+  CPPUNIT_TEST(WhatIsListedAsDownCounts);
+  CPPUNIT_TEST(VmsAreLeftAloneForATime);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -248,6 +251,39 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Moves().size());
   }
 
+  /// LIMIT on psig-shed (fresh-8184): a manager was lost right after it had
+  /// ordered as many as the cap allows.
+  void OrdersOfAnEarlierManagerCountAsDown()
+  {
+    planner_->SetWave({ 1, Names(), Millis(20000), 2 });
+    planner_->NoteMaintenance("spare0", 1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Maintained());
+  }
+
+  void WhatIsListedAsDownCounts()
+  {
+    planner_->SetWave({ 1, Names(), Millis(20000), 2 });
+    for (PoolVm& vm : vms_) {
+      if (vm.vm_ == "spare0" || vm.vm_ == "spare1") {
+        vm.phase_ = VmPhase::Maintained;
+      }
+    }
+    planner_->SetVms(vms_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Maintained());
+  }
+
+  void VmsAreLeftAloneForATime()
+  {
+    for (const char* vm : { "spare0", "spare1", "spare2", "spare3" }) {
+      planner_->LeaveAlone(vm, Millis(3000));
+    }
+    Report("a", 4, 20);
+    CPPUNIT_ASSERT(Moves().empty());
+    clock_.Advance(Millis(3000));
+    Report("a", 4, 20);
+    CPPUNIT_ASSERT(!Moves().empty());
+  }
+
 private:
   /// The last VM of each pool carries a label.
   void SetLabels()
