--- a/scripts/check.py
+++ b/scripts/check.py
@@ -16,6 +16,9 @@
 SANITIZED = ROOT / "build-asan"
 THREADED = ROOT / "build-tsan"
 JOBS = min(6, os.cpu_count() or 2)
+# What the end-to-end tests run.
+PROGRAMS = ("coltsfootshedd coltsfootctl platform-standin target-standin relay "
+            "traffic")
 
 
 def sources(*patterns):
@@ -40,8 +43,9 @@
     return [("format", result.returncode == 0, result.stdout)]
 
 
-def build(directory, *options):
-    result = run([ROOT / "scripts/build.sh", directory, *options])
+def build(directory, *options, targets="all"):
+    result = run([ROOT / "scripts/build.sh", directory, *options],
+                 env={**os.environ, "TARGETS": targets})
     return [(f"build {directory.name}", result.returncode == 0, result.stdout)]
 
 
@@ -100,11 +104,12 @@
     ("unit tests", lambda: unit_tests(BUILD)),
     ("end-to-end tests", lambda: e2e_tests(BUILD)),
     ("sanitized build", lambda: build(
-        SANITIZED, "-DCOLTSFOOTSHED_SANITIZE=address,undefined")),
+        SANITIZED, "-DCOLTSFOOTSHED_SANITIZE=address,undefined",
+        targets=f"unittests {PROGRAMS}")),
     ("sanitized unit tests", lambda: unit_tests(SANITIZED)),
     ("sanitized end-to-end test", lambda: e2e_tests(SANITIZED, "whole_path")),
     ("thread-sanitized build", lambda: build(
-        THREADED, "-DCOLTSFOOTSHED_SANITIZE=thread")),
+        THREADED, "-DCOLTSFOOTSHED_SANITIZE=thread", targets=PROGRAMS)),
     ("thread-sanitized end-to-end test", lambda: e2e_tests(
         THREADED, "whole_path")),
     ("lint", check_tidy),
