Service leaders hear only the latest pool manager

The store refused the pool manager's VM (503) from 16.8 s on; its successor led from 18.6 s, but the old one went on asking the service leaders with its own list of targets to be emptied until 23.9 s, when it learnt that its lease was gone. Each question replaced the successor's list, so that targets which the successor was about to move away took starts again in between.

Ruled out: stopping a manager without a confirmed lease, as then both may still overlap by its margin.

Change: the question carries the manager's fence, and the scheduler refuses a lower one than it has heard.

Test that failed first by what it asserts (the old call knew no fence): AnEarlierPoolManagerIsNotHeard.

--- a/include/coltsfootshed/Node/LeaderLinks.h
+++ b/include/coltsfootshed/Node/LeaderLinks.h
@@ -36,6 +36,7 @@
   /// Tells a leader which targets must take no starts, and asks how busy its
   /// pool is.
   void AskPool(const std::string& aService,
+               Fence aManager,
                const std::vector<std::string>& aVacating,
                std::function<void(Result<PoolReport>)> aOnAnswer);
 
--- a/include/coltsfootshed/Node/ServiceLeader.h
+++ b/include/coltsfootshed/Node/ServiceLeader.h
@@ -46,7 +46,7 @@
   void RegisterTarget(const TargetInfo& aTarget);
   void UnregisterTarget(const std::string& aId);
   void SetAuthority(Authority aAuthority);
-  void SetVacating(std::span<const std::string> aTargets);
+  bool SetVacating(Fence aManager, std::span<const std::string> aTargets);
 
   /// True once the saved state is loaded.
   bool IsLoaded() const { return loaded_; }
--- a/include/coltsfootshed/Scheduling/Scheduler.h
+++ b/include/coltsfootshed/Scheduling/Scheduler.h
@@ -145,8 +145,9 @@
   void LoadRoster(std::span<const TargetInfo> aTargets);
   void RegisterTarget(const TargetInfo& aTarget);
   void UnregisterTarget(std::string_view aId);
-  /// Targets that must take no starts.
-  void SetVacating(std::span<const std::string> aTargets);
+  /// Targets that must take no starts, as the pool manager with a fence says.
+  /// False, and nothing changes, if a later manager has spoken.
+  bool SetVacating(Fence aManager, std::span<const std::string> aTargets);
 
   // Answers to orders.
   void OnHold(const std::string& aTarget, const HoldAnswer& aAnswer);
@@ -318,6 +319,7 @@
   ArrivalRate arrivals_;
   int savesInFlight_ = 0;
   Millis saveAgainAt_{ 0 };
+  Fence poolManager_ = 0; ///< highest fence of one that spoke
   bool rosterInFlight_ = false;
   bool rosterStale_ = false;
   Millis rosterSweepAt_{ 0 };
--- a/lib/Node/LeaderLinks.cpp
+++ b/lib/Node/LeaderLinks.cpp
@@ -14,6 +14,8 @@
 static constexpr int kNotFound = 404;
 /// The asked VM does not lead the service.
 static constexpr int kNotLeader = 409;
+/// Another pool manager with a higher fence has spoken.
+static constexpr int kSuperseded = 412;
 
 static constexpr const char* kJobPath = "/job";
 static constexpr const char* kCancelPath = "/cancel";
@@ -184,18 +186,23 @@
 }
 
 void LeaderLinks::AskPool(const std::string& aService,
+                          Fence aManager,
                           const std::vector<std::string>& aVacating,
                           std::function<void(Result<PoolReport>)> aOnAnswer)
 {
   ServiceLeader* local = findLocal_(aService);
   if (local != nullptr && local->IsLoaded() && table_.IsConfirmed()) {
-    local->SetVacating(aVacating);
+    if (!local->SetVacating(aManager, aVacating)) {
+      aOnAnswer(Fail("ask for a pool", aService, "a later manager has asked"));
+      return;
+    }
     aOnAnswer(local->State().Report());
     return;
   }
   Call(aService,
        { "POST",
-         std::string(kPoolPath) + "?service=" + aService,
+         std::string(kPoolPath) + "?service=" + aService +
+           "&fence=" + std::to_string(aManager),
          {},
          EncodeIds(aVacating) },
        [onAnswer = std::move(aOnAnswer)](const Result<HttpAnswer>& aAnswer) {
@@ -203,10 +210,23 @@
            onAnswer(tl::unexpected(aAnswer.error()));
            return;
          }
+         if (aAnswer->code_ != kOk) {
+           onAnswer(Fail("ask for a pool", "", aAnswer->body_));
+           return;
+         }
          onAnswer(DecodeReport(aAnswer->body_));
        });
 }
 
+/// A number in a query, or 0 if there is none.
+static std::uint64_t NumberValue(std::string_view aTarget, const char* aName)
+{
+  std::string text = QueryValue(aTarget, aName);
+  std::uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
 HttpAnswer LeaderLinks::Answer(const HttpRequest& aRequest)
 {
   std::string_view path = PathOf(aRequest.target_);
@@ -219,9 +239,7 @@
       return { 400, {}, record.error().Text() };
     }
     ServiceLeader* local = findLocal_(record->service_);
-    std::string created = QueryValue(aRequest.target_, "created");
-    Revision revision = 0;
-    std::from_chars(created.data(), created.data() + created.size(), revision);
+    Revision revision = NumberValue(aRequest.target_, "created");
     // A leader that may have been replaced takes no new jobs: its successor
     // starts them without asking where else they might run.
     if (local == nullptr || !table_.IsConfirmed()) {
@@ -244,7 +262,10 @@
     if (!table_.IsConfirmed()) {
       return { kNotLeader, {}, {} };
     }
-    local->SetVacating(DecodeIds(aRequest.body_));
+    Fence fence = NumberValue(aRequest.target_, "fence");
+    if (!local->SetVacating(fence, DecodeIds(aRequest.body_))) {
+      return { kSuperseded, {}, "a later manager has asked" };
+    }
     return { kOk, {}, EncodeReport(local->State().Report()) };
   }
   if (path == kStatePath) {
--- a/lib/Node/PoolManager.cpp
+++ b/lib/Node/PoolManager.cpp
@@ -157,6 +157,7 @@
     }
     with_.links_.AskPool(
       service.name_,
+      fence_,
       planner_.Vacating(service.name_),
       guard_([this, name = service.name_](const Result<PoolReport>& aReport) {
         gathering_.erase(name);
--- a/lib/Node/ServiceLeader.cpp
+++ b/lib/Node/ServiceLeader.cpp
@@ -235,10 +235,12 @@
   Kick();
 }
 
-void ServiceLeader::SetVacating(std::span<const std::string> aTargets)
+bool ServiceLeader::SetVacating(Fence aManager,
+                                std::span<const std::string> aTargets)
 {
-  scheduler_.SetVacating(aTargets);
+  bool taken = scheduler_.SetVacating(aManager, aTargets);
   Kick();
+  return taken;
 }
 
 void ServiceLeader::Kick()
--- a/lib/Scheduling/SchedulerHolds.cpp
+++ b/lib/Scheduling/SchedulerHolds.cpp
@@ -88,8 +88,13 @@
               { "runs", std::to_string(found->second.runs_.size()) } });
 }
 
-void Scheduler::SetVacating(std::span<const std::string> aTargets)
+bool Scheduler::SetVacating(Fence aManager,
+                            std::span<const std::string> aTargets)
 {
+  if (aManager < poolManager_) {
+    return false;
+  }
+  poolManager_ = aManager;
   for (auto& [id, target] : targets_) {
     bool vacates =
       std::find(aTargets.begin(), aTargets.end(), id) != aTargets.end();
@@ -100,6 +105,7 @@
     rosterStale_ |= target.vacating_ && !vacates && !target.inRoster_;
     target.vacating_ = vacates;
   }
+  return true;
 }
 
 void Scheduler::DecideHolds(std::vector<SchedulerOrder>& aOrders)
--- a/unittests/Scheduling/SchedulerTest.cpp
+++ b/unittests/Scheduling/SchedulerTest.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(AnOvertakenAnswerIsDropped);
   CPPUNIT_TEST(ChangesAreSavedByAge);
   CPPUNIT_TEST(EndedJobsAreSavedFirst);
+  CPPUNIT_TEST(AnEarlierPoolManagerIsNotHeard);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -157,7 +158,7 @@
     Step();
     Hold(crowded, rows);
     std::vector<std::string> vacating = { crowded };
-    scheduler_->SetVacating(vacating);
+    scheduler_->SetVacating(1, vacating);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Of<TargetStop>(Step()).size());
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), Of<TargetStop>(Step()).size());
   }
@@ -439,6 +440,23 @@
     CPPUNIT_ASSERT_EQUAL(NumberedId(1), saves[0].entries_[0].job_);
   }
 
+  /// Incident inc-f322 on psig-shed: a manager whom the store refused went on
+  /// asking for seconds, and reopened targets that its successor was about to
+  /// move away.
+  void AnEarlierPoolManagerIsNotHeard()
+  {
+    Register("t1");
+    Decide();
+    Hold("t1", {});
+    std::vector<std::string> closed{ "t1" };
+    CPPUNIT_ASSERT(scheduler_->SetVacating(20, closed));
+    CPPUNIT_ASSERT(!scheduler_->SetVacating(19, {}));
+    AddJob(kFence + 1);
+    CPPUNIT_ASSERT(Of<TargetStart>(Step()).empty());
+    CPPUNIT_ASSERT(scheduler_->SetVacating(21, {}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Of<TargetStart>(Step()).size());
+  }
+
 private:
   using Orders = std::vector<SchedulerOrder>;
 
--- a/unittests/Scheduling/SchedulerWorld.cpp
+++ b/unittests/Scheduling/SchedulerWorld.cpp
@@ -411,7 +411,7 @@
   if (aPick % 2 == 0) {
     targets.push_back("t" + std::to_string(aPick % kTargets));
   }
-  leaders_.back().scheduler_->SetVacating(targets);
+  leaders_.back().scheduler_->SetVacating(1, targets);
 }
 
 SchedulerWorld::Reply SchedulerWorld::Execute(const Call& aCall)
@@ -651,7 +651,7 @@
   for (auto& [id, target] : targets_) {
     leader.scheduler_->RegisterTarget(Listed(target.info_, lie_).front());
   }
-  leader.scheduler_->SetVacating({});
+  leader.scheduler_->SetVacating(1, {});
   for (int i = 0; i < kMostSteps && !AllEnded(); ++i) {
     clock_.Advance(kStep);
     Settle();
