--- a/include/coltsfootshed/Pools/PoolPlanner.h
+++ b/include/coltsfootshed/Pools/PoolPlanner.h
@@ -98,6 +98,10 @@
   std::uint64_t WaveChanges() const { return waveChanges_; }
 
 private:
+  /// Room above the load that comes and goes, so that new work starts at once
+  /// and a lost VM hurts little.
+  static constexpr double kHeadroom = 1.2;
+
   struct Report
   {
     PoolReport content_;
@@ -131,6 +135,7 @@
   const PoolVm* FindVm(std::string_view aVm) const;
   const Report* FreshReport(std::string_view aService) const;
   const TargetUse* UseOf(const PoolVm& aVm) const;
+  static double VmsFor(double aCpu, double aMemory, const Resources& aVmSize);
   static int Needed(const PoolReport& aReport, const Resources& aVmSize);
   std::map<std::string, int> MissingByLabel(const PoolReport& aReport);
   int Count(std::string_view aPool, std::string_view aLabel = {}) const;
@@ -139,6 +144,7 @@
   void PlanWaves(std::vector<PoolOrder>& aOrders);
   void PlanWave(Wave& aWave, std::vector<PoolOrder>& aOrders);
   int DownFor(const Wave& aWave) const;
+  void DropStalePlans();
   void PlanMoves();
   void LogPool(const Report& aReport, int aMissing);
   /// Which VMs may leave a pool for another.
@@ -151,8 +157,8 @@
   };
   int PlanTake(const Taking& aTaking);
   void TakeLabelled(const std::string& aService);
-  bool IsKept(const PoolVm& aVm) const;
-  bool IsLacked(const PoolVm& aVm) const;
+  int LackOn(const PoolVm& aVm) const;
+  std::string LacksText(const std::string& aService);
   bool IsWanted(const PoolVm& aVm, std::string_view aService) const;
   Resources VmSize(std::string_view aPool) const;
   void OrderEmptied(std::vector<PoolOrder>& aOrders);
--- a/include/coltsfootshed/Pools/VmCalls.h
+++ b/include/coltsfootshed/Pools/VmCalls.h
@@ -5,9 +5,11 @@
 
 #include "coltsfootshed/Jobs/JobSpec.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace coltsfootshed {
@@ -29,6 +31,13 @@
   std::vector<std::string> labels_;
   Resources capacity_;
   std::string target_; ///< id of the target that lives on it now
+
+  /// True for the empty label, which every VM carries.
+  bool HasLabel(std::string_view aLabel) const
+  {
+    return aLabel.empty() ||
+           std::find(labels_.begin(), labels_.end(), aLabel) != labels_.end();
+  }
 };
 
 enum class VmOrderEnd
--- a/lib/Pools/PoolPlanner.cpp
+++ b/lib/Pools/PoolPlanner.cpp
@@ -9,9 +9,6 @@
 
 /// Older reports are not acted on: the service may have a new leader.
 static constexpr Millis kReportAge{ 700 };
-/// Room above the load that comes and goes, so that new work starts at once
-/// and a lost VM hurts little.
-static constexpr double kHeadroom = 1.2;
 static constexpr int kReserve = 1; ///< VMs above the need
 /// A pool keeps VMs that it does not need this long: demand may come back,
 /// and a move costs about as much as a VM-second.
@@ -32,17 +29,6 @@
 /// Pause between log lines on one pool.
 static constexpr Millis kLogPause{ 1000 };
 
-/// Labels that waiting work needs, each with the VMs that lack (or, below
-/// zero, are to spare).
-static std::string TextOf(const std::map<std::string, int>& aByLabel)
-{
-  std::string text;
-  for (const auto& [label, lacks] : aByLabel) {
-    text += (text.empty() ? "" : " ") + label + ":" + std::to_string(lacks);
-  }
-  return text;
-}
-
 PoolPlanner::PoolPlanner(const Clock& aClock)
   : clock_(aClock)
 {
@@ -128,7 +114,9 @@
 }
 
 /// VMs of a size that some load fills.
-static double VmsFor(double aCpu, double aMemory, const Resources& aVmSize)
+double PoolPlanner::VmsFor(double aCpu,
+                           double aMemory,
+                           const Resources& aVmSize)
 {
   return std::max(
     aCpu / static_cast<double>(std::max<std::int64_t>(1, aVmSize.cpu_)),
@@ -153,20 +141,13 @@
                   aReport.leastVms_);
 }
 
-static bool HasLabel(const PoolVm& aVm, std::string_view aLabel)
-{
-  return aLabel.empty() ||
-         std::find(aVm.labels_.begin(), aVm.labels_.end(), aLabel) !=
-           aVm.labels_.end();
-}
-
 /// VMs that serve a pool or are about to, and carry a label if one is given.
 /// What is emptied or down for maintenance serves nothing for seconds.
 int PoolPlanner::Count(std::string_view aPool, std::string_view aLabel) const
 {
   int count = 0;
   for (const auto& [name, vm] : vms_) {
-    if (!HasLabel(vm, aLabel)) {
+    if (!vm.HasLabel(aLabel)) {
       continue;
     }
     auto plan = plans_.find(name);
@@ -182,55 +163,6 @@
   return count;
 }
 
-std::map<std::string, int> PoolPlanner::MissingByLabel(
-  const PoolReport& aReport)
-{
-  std::map<std::string, int> missing;
-  Resources size = VmSize(aReport.service_);
-  for (const auto& [label, load] : aReport.byLabel_) {
-    double vms = VmsFor(
-      static_cast<double>(load.cpu_), static_cast<double>(load.memory_), size);
-    missing[label] = static_cast<int>(std::ceil(kHeadroom * vms)) -
-                     Count(aReport.service_, label);
-  }
-  return missing;
-}
-
-/// True if its pool needs a label that it carries and has none to spare.
-bool PoolPlanner::IsKept(const PoolVm& aVm) const
-{
-  auto labels = byLabel_.find(aVm.pool_);
-  return labels != byLabel_.end() &&
-         std::any_of(labels->second.begin(),
-                     labels->second.end(),
-                     [&](const auto& aEntry) {
-                       return aEntry.second >= 0 && HasLabel(aVm, aEntry.first);
-                     });
-}
-
-/// True if work of its pool waits for a label that it carries.
-bool PoolPlanner::IsLacked(const PoolVm& aVm) const
-{
-  auto labels = byLabel_.find(aVm.pool_);
-  return labels != byLabel_.end() &&
-         std::any_of(labels->second.begin(),
-                     labels->second.end(),
-                     [&](const auto& aEntry) {
-                       return aEntry.second > 0 && HasLabel(aVm, aEntry.first);
-                     });
-}
-
-/// True if work of a service waits that is fastest on the VM's rack.
-bool PoolPlanner::IsWanted(const PoolVm& aVm, std::string_view aService) const
-{
-  const Report* report = FreshReport(aService);
-  return report != nullptr && std::any_of(report->content_.byRack_.begin(),
-                                          report->content_.byRack_.end(),
-                                          [&](const auto& aEntry) {
-                                            return HasLabel(aVm, aEntry.first);
-                                          });
-}
-
 /// True if nothing is planned for a VM and it can be ordered.
 bool PoolPlanner::IsFree(const PoolVm& aVm) const
 {
@@ -245,6 +177,16 @@
 std::vector<PoolOrder> PoolPlanner::Decide()
 {
   std::vector<PoolOrder> orders;
+  DropStalePlans();
+  PlanWaves(orders);
+  PlanMoves();
+  OrderEmptied(orders);
+  return orders;
+}
+
+/// A VM that is not empty after a while serves again.
+void PoolPlanner::DropStalePlans()
+{
   Millis now = clock_.Now();
   std::erase_if(plans_, [&](const auto& aEntry) {
     const auto& [name, plan] = aEntry;
@@ -256,21 +198,18 @@
       return age > kVacateLimit;
     }
     const PoolVm* vm = FindVm(name);
-    bool put = vm != nullptr && age > kLackedVacateLimit && IsLacked(*vm);
-    if (put) {
-      notBefore_[name] = now + kLackedVacateLimit;
-      LogDecision("vm-maintain-put-off",
-                  { { "vm", name },
-                    { "wave", std::to_string(plan.wave_) },
-                    { "pool", vm->pool_ },
-                    { "labels", TextOf(byLabel_[vm->pool_]) } });
+    bool isLacked = vm != nullptr && LackOn(*vm) > 0;
+    if (!isLacked || age <= kLackedVacateLimit) {
+      return false;
     }
-    return put;
+    LeaveAlone(name, kLackedVacateLimit);
+    LogDecision("vm-maintain-put-off",
+                { { "vm", name },
+                  { "wave", std::to_string(plan.wave_) },
+                  { "pool", vm->pool_ },
+                  { "labels", LacksText(vm->pool_) } });
+    return true;
   });
-  PlanWaves(orders);
-  PlanMoves();
-  OrderEmptied(orders);
-  return orders;
 }
 
 void PoolPlanner::PlanMoves()
@@ -317,22 +256,6 @@
   }
 }
 
-/// Takes VMs with labels that waiting tasks need and a pool lacks, from the
-/// spare pool first, then from wherever they are not needed.
-void PoolPlanner::TakeLabelled(const std::string& aService)
-{
-  for (auto& [label, lacks] : byLabel_[aService]) {
-    if (lacks > 0) {
-      lacks -= PlanTake({ spare_, aService, lacks, label });
-    }
-    for (const std::string& other : services_) {
-      if (lacks > 0 && other != aService) {
-        lacks -= PlanTake({ other, aService, lacks, label });
-      }
-    }
-  }
-}
-
 /// The size of VMs in a pool, or of any VM if it has none.
 Resources PoolPlanner::VmSize(std::string_view aPool) const
 {
@@ -364,7 +287,7 @@
               { "waiting_mib", std::to_string(content.waiting_.memory_) },
               { "arriving_cpu",
                 std::to_string(static_cast<int>(content.arrivingCpu_)) },
-              { "labels", TextOf(byLabel_[content.service_]) },
+              { "labels", LacksText(content.service_) },
               { "spare", std::to_string(Count(spare_)) },
               { "age_ms", std::to_string((now - aReport.at_).count()) } });
 }
@@ -376,7 +299,7 @@
   std::vector<std::tuple<int, bool, std::string>> movable;
   for (const auto& [name, vm] : vms_) {
     if (vm.pool_ != aTaking.from_ || !IsFree(vm) ||
-        !HasLabel(vm, aTaking.label_) ||
+        !vm.HasLabel(aTaking.label_) ||
         impossible_.count({ name, aTaking.to_ }) > 0) {
       continue;
     }
@@ -384,7 +307,7 @@
     bool isFar = !IsWanted(vm, aTaking.to_);
     if (IsSpare(aTaking.from_)) {
       movable.emplace_back(0, isFar, name);
-    } else if (use != nullptr && use->lasting_ == 0 && !IsKept(vm)) {
+    } else if (use != nullptr && use->lasting_ == 0 && LackOn(vm) < 0) {
       movable.emplace_back(use->runs_, isFar, name);
     }
   }
@@ -398,11 +321,11 @@
     auto labels = byLabel_.find(aTaking.from_);
     if (labels != byLabel_.end()) {
       const PoolVm& vm = vms_.at(name);
-      if (IsKept(vm)) {
+      if (LackOn(vm) >= 0) {
         continue;
       }
       for (auto& [label, lacks] : labels->second) {
-        lacks += HasLabel(vm, label) ? 1 : 0;
+        lacks += vm.HasLabel(label) ? 1 : 0;
       }
     }
     plans_[name] = Plan{ Intent::Move, aTaking.to_, 0, clock_.Now() };
