A target that leaves the roster takes no starts from the moment of sending

While the roster without an emptied target was under way, the target still counted as named in it; reopened in that moment it could get a start, and a successor that reads the roster would not have waited for it.

Change: what a roster omits counts as not named from its sending; the next roster names it again before its next start.

Test that failed first: WhatLeavesTheRosterTakesNoStarts.

--- a/lib/Scheduling/Scheduler.cpp
+++ b/lib/Scheduling/Scheduler.cpp
@@ -432,10 +432,13 @@
   }
   SaveRoster roster;
   rosterSent_.clear();
-  for (const auto& [id, target] : targets_) {
+  for (auto& [id, target] : targets_) {
     if (IsRosterNeeded(target)) {
       roster.targets_.push_back(target.info_);
       rosterSent_.push_back(id);
+    } else {
+      // From now on the saved roster may not name it.
+      target.inRoster_ = false;
     }
   }
   rosterStale_ = false;
--- a/unittests/Scheduling/SchedulerTest.cpp
+++ b/unittests/Scheduling/SchedulerTest.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(ChangesAreSavedByAge);
   CPPUNIT_TEST(EndedJobsAreSavedFirst);
   CPPUNIT_TEST(AnEarlierPoolManagerIsNotHeard);
+  CPPUNIT_TEST(WhatLeavesTheRosterTakesNoStarts);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -457,6 +458,30 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Of<TargetStart>(Step()).size());
   }
 
+  /// The roster without the target is under way when it is reopened: were it
+  /// used at once, a successor would not ask it for its runs.
+  void WhatLeavesTheRosterTakesNoStarts()
+  {
+    Register("t1");
+    Decide();
+    Hold("t1", {});
+    std::vector<std::string> closed{ "t1" };
+    CPPUNIT_ASSERT(scheduler_->SetVacating(20, closed));
+    clock_.Advance(Millis(1000));
+    auto rosters = Of<SaveRoster>(scheduler_->Decide());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), rosters.size());
+    CPPUNIT_ASSERT(rosters[0].targets_.empty());
+    CPPUNIT_ASSERT(scheduler_->SetVacating(20, {}));
+    AddJob(kFence + 1);
+    CPPUNIT_ASSERT(Of<TargetStart>(scheduler_->Decide()).empty());
+    scheduler_->OnRosterSaved(true);
+    rosters = Of<SaveRoster>(scheduler_->Decide());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), rosters.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), rosters[0].targets_.size());
+    scheduler_->OnRosterSaved(true);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Of<TargetStart>(Step()).size());
+  }
+
 private:
   using Orders = std::vector<SchedulerOrder>;
 
