One copy of the fenced write and of the pool question

The service leader and the pool manager each built the leader's condition and each learnt the present revision of a key by a loop of their own; the pool question was answered in two places with the same text; the saved state of pools parsed and printed the waves again each time; PlanTake asked for lacking labels twice; the comment on doubts no longer said how they fall.

Ruled out: one function for the whole save, as what follows an answer differs (progress, roster, orders).

Change: Store/FencedWrite.h (FencedTransaction, RevisionAfter) serves all five writes; PoolOf serves the local and the asked leader; waves are saved as the text that the planner made.

--- a/include/coltsfootshed/Scheduling/TargetState.h
+++ b/include/coltsfootshed/Scheduling/TargetState.h
@@ -94,8 +94,8 @@
   int failedHolds_ = 0; ///< in a row
   Millis lastAnswerAt_{ 0 };
   Millis avoidUntil_{ 0 }; ///< refused or failed work a moment ago
-  /// Unanswered starts less answered ones, as far as they were sent after the
-  /// one before had been judged.
+  /// Rises with an unanswered start, falls after some answered ones in a row;
+  /// only starts that were sent after its last rise count.
   int doubts_ = 0;
   Millis judgedAt_{ 0 };   ///< when doubts_ rose last
   int answeredStarts_ = 0; ///< in a row since then
--- a/lib/Node/LeaderLinks.cpp
+++ b/lib/Node/LeaderLinks.cpp
@@ -185,6 +185,18 @@
                          : std::vector<std::string>();
 }
 
+/// Tells a leader which targets must take no starts; how busy its pool is.
+static Result<PoolReport> PoolOf(ServiceLeader& aLeader,
+                                 const std::string& aService,
+                                 Fence aManager,
+                                 const std::vector<std::string>& aVacating)
+{
+  if (!aLeader.SetVacating(aManager, aVacating)) {
+    return Fail("ask for a pool", aService, "a later manager has asked");
+  }
+  return aLeader.State().Report();
+}
+
 void LeaderLinks::AskPool(const std::string& aService,
                           Fence aManager,
                           const std::vector<std::string>& aVacating,
@@ -192,11 +204,7 @@
 {
   ServiceLeader* local = findLocal_(aService);
   if (local != nullptr && local->IsLoaded() && table_.IsConfirmed()) {
-    if (!local->SetVacating(aManager, aVacating)) {
-      aOnAnswer(Fail("ask for a pool", aService, "a later manager has asked"));
-      return;
-    }
-    aOnAnswer(local->State().Report());
+    aOnAnswer(PoolOf(*local, aService, aManager, aVacating));
     return;
   }
   Call(aService,
@@ -263,10 +271,10 @@
       return { kNotLeader, {}, {} };
     }
     Fence fence = NumberValue(aRequest.target_, "fence");
-    if (!local->SetVacating(fence, DecodeIds(aRequest.body_))) {
-      return { kSuperseded, {}, "a later manager has asked" };
-    }
-    return { kOk, {}, EncodeReport(local->State().Report()) };
+    std::string service = QueryValue(aRequest.target_, "service");
+    auto report = PoolOf(*local, service, fence, DecodeIds(aRequest.body_));
+    return report ? HttpAnswer{ kOk, {}, EncodeReport(*report) }
+                  : HttpAnswer{ kSuperseded, {}, report.error().Text() };
   }
   if (path == kStatePath) {
     auto state = local->State().StateOf(job);
--- a/lib/Node/PoolManager.cpp
+++ b/lib/Node/PoolManager.cpp
@@ -1,7 +1,7 @@
 #include "coltsfootshed/Node/PoolManager.h"
 
 #include "coltsfootshed/Observe/DecisionLog.h"
-#include "coltsfootshed/Store/Keys.h"
+#include "coltsfootshed/Store/FencedWrite.h"
 
 #include <nlohmann/json.hpp>
 
@@ -75,12 +75,13 @@
 void PoolManager::LoadSaved(const std::string& aText)
 {
   auto saved = nlohmann::json::parse(aText, nullptr, false);
-  if (!saved.is_object() || !saved.contains("waves") ||
+  if (!saved.is_object() ||
+      !saved.value("waves", nlohmann::json()).is_string() ||
       !saved.contains("ordered")) {
     LogBelief("pools-unreadable", {});
     return;
   }
-  planner_.LoadWaves(saved["waves"].dump());
+  planner_.LoadWaves(saved["waves"].get<std::string>());
   for (const auto& [vm, row] : saved["ordered"].items()) {
     LastOrder order{ row.at(0), row.at(1), with_.clock_.Now() };
     planner_.NoteMaintenance(vm, order.wave_);
@@ -193,8 +194,7 @@
 
 void PoolManager::Show(const ShowWave& aShow)
 {
-  Transaction transaction;
-  transaction.conditions_.push_back({ keys::Leader(keys::kPoolsDuty), fence_ });
+  Transaction transaction = FencedTransaction(keys::kPoolsDuty, fence_);
   transaction.puts_.push_back(
     { with_.format_.waveStatusPrefix_ + std::to_string(aShow.wave_),
       with_.format_.writeWaveStatus_(aShow.complete_) });
@@ -247,11 +247,9 @@
   for (const auto& [vm, order] : orderedAt_) {
     ordered[vm] = { order.holder_, order.wave_ };
   }
-  nlohmann::json saved = { { "waves",
-                             nlohmann::json::parse(planner_.EncodeWaves()) },
+  nlohmann::json saved = { { "waves", planner_.EncodeWaves() },
                            { "ordered", ordered } };
-  Transaction transaction;
-  transaction.conditions_.push_back({ keys::Leader(keys::kPoolsDuty), fence_ });
+  Transaction transaction = FencedTransaction(keys::kPoolsDuty, fence_);
   transaction.conditions_.push_back({ keys::Pools(), savedRevision_ });
   transaction.puts_.push_back({ keys::Pools(), saved.dump() });
   with_.store_.Commit(
@@ -268,19 +266,14 @@
   saving_ = false;
   saveAt_ = with_.clock_.Now() + kSaveRetry;
   bool committed = aResult.end_ == CommitEnd::Committed;
+  savedRevision_ = RevisionAfter(aResult, keys::Pools(), savedRevision_);
   if (committed) {
-    savedRevision_ = aResult.revision_;
     savedChanges_ = aChanges;
   } else {
     LogBelief("pools-not-saved",
               { { "orders", std::to_string(aOrders.size()) },
                 { "reason", aResult.reason_ } });
   }
-  for (const StoreItem& item : aResult.current_) {
-    if (item.key_ == keys::Pools()) {
-      savedRevision_ = item.revision_;
-    }
-  }
   for (const PoolOrder& order : aOrders) {
     if (committed) {
       Carry(order);
--- a/lib/Node/ServiceLeader.cpp
+++ b/lib/Node/ServiceLeader.cpp
@@ -1,7 +1,7 @@
 #include "coltsfootshed/Node/ServiceLeader.h"
 
 #include "coltsfootshed/Observe/DecisionLog.h"
-#include "coltsfootshed/Store/Keys.h"
+#include "coltsfootshed/Store/FencedWrite.h"
 
 #include <algorithm>
 #include <functional>
@@ -364,14 +364,6 @@
                      }));
 }
 
-/// Only the leader whose key still has its first revision may write.
-static void AddLeaderCondition(Transaction& aTransaction,
-                               const std::string& aService,
-                               Fence aFence)
-{
-  aTransaction.conditions_.push_back({ keys::Leader(aService), aFence });
-}
-
 bool ServiceLeader::IsFencedOff(const CommitResult& aResult)
 {
   if (aResult.end_ != CommitEnd::ConditionFailed) {
@@ -388,8 +380,8 @@
 
 void ServiceLeader::CarrySave(const SaveProgress& aSave)
 {
-  Transaction transaction;
-  AddLeaderCondition(transaction, options_.service_, options_.fence_);
+  Transaction transaction =
+    FencedTransaction(options_.service_, options_.fence_);
   for (const SaveProgress::Entry& entry : aSave.entries_) {
     std::string key = keys::Progress(options_.service_, entry.job_);
     transaction.conditions_.push_back({ key, entry.revision_ });
@@ -422,28 +414,20 @@
 
 void ServiceLeader::CarryRoster(const SaveRoster& aRoster)
 {
-  Transaction transaction;
   std::string key = keys::Roster(options_.service_);
-  AddLeaderCondition(transaction, options_.service_, options_.fence_);
+  Transaction transaction =
+    FencedTransaction(options_.service_, options_.fence_);
   transaction.conditions_.push_back({ key, rosterRevision_ });
   transaction.puts_.push_back({ key, EncodeRoster(aRoster.targets_) });
-  with_.store_.Commit(transaction,
-                      guard_([this, key](const CommitResult& aResult) {
-                        bool committed = aResult.end_ == CommitEnd::Committed;
-                        if (committed) {
-                          rosterRevision_ = aResult.revision_;
-                        }
-                        for (const StoreItem& item : aResult.current_) {
-                          if (item.key_ == key) {
-                            rosterRevision_ = item.revision_;
-                          }
-                        }
-                        scheduler_.OnRosterSaved(committed);
-                        if (IsFencedOff(aResult)) {
-                          Abdicate();
-                        }
-                        Kick();
-                      }));
+  with_.store_.Commit(
+    transaction, guard_([this, key](const CommitResult& aResult) {
+      rosterRevision_ = RevisionAfter(aResult, key, rosterRevision_);
+      scheduler_.OnRosterSaved(aResult.end_ == CommitEnd::Committed);
+      if (IsFencedOff(aResult)) {
+        Abdicate();
+      }
+      Kick();
+    }));
 }
 
 void ServiceLeader::Abdicate()
@@ -458,8 +442,8 @@
 void ServiceLeader::Collect()
 {
   collectTimer_.Start(kCollectPause);
-  Transaction transaction;
-  AddLeaderCondition(transaction, options_.service_, options_.fence_);
+  Transaction transaction =
+    FencedTransaction(options_.service_, options_.fence_);
   Millis now = with_.clock_.Now();
   std::size_t collected = 0;
   for (const std::string& job : scheduler_.EndedJobs()) {
--- a/lib/Pools/PoolPlanner.cpp
+++ b/lib/Pools/PoolPlanner.cpp
@@ -307,7 +307,7 @@
     bool isFar = !IsWanted(vm, aTaking.to_);
     if (IsSpare(aTaking.from_)) {
       movable.emplace_back(0, isFar, name);
-    } else if (use != nullptr && use->lasting_ == 0 && LackOn(vm) < 0) {
+    } else if (use != nullptr && use->lasting_ == 0) {
       movable.emplace_back(use->runs_, isFar, name);
     }
   }
@@ -317,16 +317,14 @@
     if (planned == aTaking.most_) {
       break;
     }
-    // Several may carry one label that the pool keeps only some of.
-    auto labels = byLabel_.find(aTaking.from_);
-    if (labels != byLabel_.end()) {
-      const PoolVm& vm = vms_.at(name);
-      if (LackOn(vm) >= 0) {
-        continue;
-      }
-      for (auto& [label, lacks] : labels->second) {
-        lacks += vm.HasLabel(label) ? 1 : 0;
-      }
+    // Asked for each anew: several may carry a label of which only some are to
+    // spare.
+    const PoolVm& vm = vms_.at(name);
+    if (LackOn(vm) >= 0) {
+      continue;
+    }
+    for (auto& [label, lacks] : byLabel_[aTaking.from_]) {
+      lacks += vm.HasLabel(label) ? 1 : 0;
     }
     plans_[name] = Plan{ Intent::Move, aTaking.to_, 0, clock_.Now() };
     ++planned;
