Fuzz tests: call an event through a member of EventKind

Cause: for a call of the form (world.*kEvents[kind].act_)(...), GCC 12.2 keeps a copy of the index for its bounds check and sets it in one branch of the call through the pointer to member only. The index of the tests is in range; 12 lines without code of ours fail alike.

Change: EventKind::Apply makes the call, so that no call expression subscripts the table. A search for calls through a subscripted pointer to member finds no other place; lib/ has none.

--- a/unittests/Fleet/FleetFuzzTest.cpp
+++ b/unittests/Fleet/FleetFuzzTest.cpp
@@ -61,7 +61,7 @@
       std::size_t kind = draw < 22   ? random() % 2
                          : draw < 30 ? 2 + random() % (kFrequent - 2)
                                      : kFrequent + random() % 6;
-      (world.*kEvents[kind].act_)(random() % 1000);
+      kEvents[kind].Apply(world, random() % 1000);
       ++FuzzEvent<FleetWorld>::steps;
     }
     world.Settle();
--- a/unittests/Requests/DispatcherFuzzTest.cpp
+++ b/unittests/Requests/DispatcherFuzzTest.cpp
@@ -94,7 +94,7 @@
         std::size_t kind = random() % 2 == 0
                              ? kFrequent[random() % std::size(kFrequent)]
                              : random() % std::size(kEvents);
-        (world.*kEvents[kind].act_)(random() % 1000);
+        kEvents[kind].Apply(world, random() % 1000);
       }
       world.Drain();
       if (!world.Violation().empty()) {
--- a/unittests/Scheduling/SchedulerFuzzTest.cpp
+++ b/unittests/Scheduling/SchedulerFuzzTest.cpp
@@ -109,7 +109,7 @@
           bool failRun = random() % 2 == 0;
           event = failRun ? kFailRun : random() % std::size(kEvents);
         }
-        (world.*kEvents[event].act_)(random() % 1000);
+        kEvents[event].Apply(world, random() % 1000);
         if (!world.Violation().empty()) {
           return world.Violation();
         }
--- a/unittests/Support/FuzzEvent.h
+++ b/unittests/Support/FuzzEvent.h
@@ -24,6 +24,13 @@
 {
   const char* name_;
   void (World::*act_)(unsigned);
+
+  /// Subscripting a table of events within the call expression itself makes the
+  /// bounds check of GCC 12 read an uninitialised index on arm64.
+  void Apply(World& aWorld, unsigned aArgument) const
+  {
+    (aWorld.*act_)(aArgument);
+  }
 };
 
 /// Generates one of the world's events: FuzzEventsOf(World*) returns all of
@@ -39,7 +46,7 @@
   void run(const NoModel&, World& aWorld) const override
   {
     ++steps;
-    (aWorld.*Kind().act_)(argument_);
+    Kind().Apply(aWorld, argument_);
     RC_ASSERT(aWorld.Violation() == "");
   }
 
