Log how old the knowledge behind an answer is

Callers saw a route refused with 404 that had been added; the log named the version of the configuration that was used, not when that knowledge was current, and only the first failure of a prefix, without the time at which the call was sent.

Change: PrefixFollower::Age counts from the sending of a call that was answered (for an empty watch: from the end of its wait), and replaces LastAnswer, which nothing read and which counted from the arrival of an answer. Each failed call logs `store-unreachable` with `failures`, `sent_ms_ago` and `known_ms_ago`, bounded by the retry delay. `no-queue` and the answers to submissions log `config_age_ms`; metrics have it as a histogram, and count `store_reads_failed`. No change of logic.

--- a/include/coltsfootshed/Node/JobApi.h
+++ b/include/coltsfootshed/Node/JobApi.h
@@ -15,13 +15,16 @@
 public:
   /// Returns whether the store has answered this VM recently.
   using ReachesStore = std::function<bool()>;
+  /// Returns the age of this VM's knowledge of the configuration.
+  using ConfigAge = std::function<Millis()>;
 
   JobApi(const Clock& aClock,
          const Clock& aWallClock,
          KeyValueStore& aStore,
          LeaderRpc& aLeaderRpc,
          const WireFormat& aFormat,
-         ReachesStore aReachesStore);
+         ReachesStore aReachesStore,
+         ConfigAge aConfigAge);
 
   /// Sets the current configuration. Requests get 503 until the first call.
   void SetConfig(std::shared_ptr<const JobsConfig> aConfig)
@@ -53,6 +56,8 @@
   void ShowWaiting(const Exchange& aExchange, const QueueConfig& aQueue);
 
   bool MayWrite() const;
+  void RejectUnknownQueue(const Exchange& aExchange,
+                          const std::string& aNearestQueue);
 
   const Clock& clock_;
   const Clock& wallClock_;
@@ -60,6 +65,7 @@
   LeaderRpc& leaderRpc_;
   const WireFormat& format_;
   ReachesStore reachesStore_;
+  ConfigAge configAge_;
   Millis noWritesBefore_{ 0 }; ///< set when a write got no answer
   std::shared_ptr<const JobsConfig> config_;
 };
--- a/include/coltsfootshed/Store/PrefixFollower.h
+++ b/include/coltsfootshed/Store/PrefixFollower.h
@@ -46,9 +46,10 @@
   PrefixFollower(const PrefixFollower&) = delete;
   PrefixFollower& operator=(const PrefixFollower&) = delete;
 
-  /// Returns when the store last answered; the listener has its state as of
-  /// that time.
-  Millis LastAnswer() const { return lastAnswer_; }
+  /// Returns the age of the listener's state: all changes that the store
+  /// accepted longer ago have been reported. Counted from the sending of a
+  /// call, as its answer may arrive late.
+  Millis Age() const { return clock_.Now() - knownAsOf_; }
   /// Returns true once the whole range has been read for the first time.
   bool HasSnapshot() const { return hasSnapshot_; }
 
@@ -71,11 +72,13 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   bool hasSnapshot_ = false;
   bool readingRange_ = true;
-  bool failing_ = false;
+  int failures_ = 0;                 ///< since the last answer
   std::vector<StoreItem> readItems_; ///< pages read so far
   Revision firstPageRevision_ = 0;
+  Millis firstPageSentAt_{ 0 };
   Revision revision_ = 0;
-  Millis lastAnswer_{ 0 };
+  Millis sentAt_{ 0 }; ///< sending of the last call
+  Millis knownAsOf_{ 0 };
 };
 
 } // namespace coltsfootshed
--- a/lib/Node/JobApi.cpp
+++ b/lib/Node/JobApi.cpp
@@ -32,13 +32,15 @@
                KeyValueStore& aStore,
                LeaderRpc& aLeaderRpc,
                const WireFormat& aFormat,
-               ReachesStore aReachesStore)
+               ReachesStore aReachesStore,
+               ConfigAge aConfigAge)
   : clock_(aClock)
   , wallClock_(aWallClock)
   , store_(aStore)
   , leaderRpc_(aLeaderRpc)
   , format_(aFormat)
   , reachesStore_(std::move(aReachesStore))
+  , configAge_(std::move(aConfigAge))
 {
 }
 
@@ -58,15 +60,12 @@
     aExchange->Reply(Unavailable());
     return;
   }
+  Observe("config_age_ms", configAge_());
   std::string_view path = PathOf(request.target_);
   auto host = FindHeader(request.headers_, "Host");
   const QueueConfig* queue = config_->Find(host.value_or(""), path);
   if (queue == nullptr) {
-    LogDecision("no-queue",
-                { { "path", std::string(path) },
-                  { "host", std::string(host.value_or("")) },
-                  { "config", std::to_string(config_->version_) } });
-    aExchange->Reply(JsonAnswer(404, "{}"));
+    RejectUnknownQueue(aExchange, "");
     return;
   }
   std::string job(path.substr(queue->prefix_.size()));
@@ -75,11 +74,7 @@
     ShowWaiting(aExchange, *queue);
   } else if (!IsJobId(job)) {
     // The path may belong to a queue that this VM's configuration lacks yet.
-    LogDecision("no-queue",
-                { { "path", std::string(path) },
-                  { "nearest", queue->name_ },
-                  { "config", std::to_string(config_->version_) } });
-    aExchange->Reply(JsonAnswer(404, "{}"));
+    RejectUnknownQueue(aExchange, queue->name_);
   } else if (request.method_ == "POST") {
     Submit(aExchange, *queue, job);
   } else if (request.method_ == "GET") {
@@ -91,6 +86,22 @@
   }
 }
 
+/// Replies to a request whose path belongs to no queue. aNearestQueue is the
+/// queue whose prefix matches, if there is one.
+void JobApi::RejectUnknownQueue(const Exchange& aExchange,
+                                const std::string& aNearestQueue)
+{
+  const HttpRequest& request = aExchange->Request();
+  auto host = FindHeader(request.headers_, "Host");
+  LogDecision("no-queue",
+              { { "path", std::string(PathOf(request.target_)) },
+                { "host", std::string(host.value_or("")) },
+                { "nearest", aNearestQueue },
+                { "config", std::to_string(config_->version_) },
+                { "config_age_ms", std::to_string(configAge_().count()) } });
+  aExchange->Reply(JsonAnswer(404, "{}"));
+}
+
 void JobApi::Submit(const Exchange& aExchange,
                     const QueueConfig& aQueue,
                     const std::string& aJob)
@@ -127,35 +138,38 @@
   transaction.conditions_.push_back({ keys::Job(aJob), 0 });
   transaction.puts_.push_back({ keys::Job(aJob), EncodeRecord(record) });
   std::uint64_t version = config_->version_;
-  store_.Commit(transaction,
-                [this, aExchange, record = std::move(record), version](
-                  const CommitResult& aResult) {
-                  bool accepted = aResult.end_ == CommitEnd::Committed;
-                  bool duplicate = aResult.end_ == CommitEnd::ConditionFailed;
-                  bool unknown = aResult.end_ == CommitEnd::Unknown;
-                  LogDecision(accepted    ? "job-accepted"
-                              : duplicate ? "job-known"
-                              : unknown   ? "job-unknown-outcome"
-                                          : "job-rejected",
-                              { { "job", record.id_ },
-                                { "queue", record.queue_ },
-                                { "service", record.service_ },
-                                { "config", std::to_string(version) },
-                                { "reason", aResult.reason_ } });
-                  if (accepted || duplicate) {
-                    aExchange->Reply(JsonAnswer(200, "{}"));
-                  } else if (unknown) {
-                    // The job may be stored, now or later, so the answer must
-                    // not say that it is rejected.
-                    noWritesBefore_ = clock_.Now() + kWritePauseAfterUnknown;
-                    aExchange->Reply(JsonAnswer(504, "{}"));
-                  } else {
-                    aExchange->Reply(Unavailable());
-                  }
-                  if (accepted) {
-                    leaderRpc_.AnnounceJob(record, aResult.revision_);
-                  }
-                });
+  Millis configAge = configAge_();
+  store_.Commit(
+    transaction,
+    [this, aExchange, record = std::move(record), version, configAge](
+      const CommitResult& aResult) {
+      bool accepted = aResult.end_ == CommitEnd::Committed;
+      bool duplicate = aResult.end_ == CommitEnd::ConditionFailed;
+      bool unknown = aResult.end_ == CommitEnd::Unknown;
+      LogDecision(accepted    ? "job-accepted"
+                  : duplicate ? "job-known"
+                  : unknown   ? "job-unknown-outcome"
+                              : "job-rejected",
+                  { { "job", record.id_ },
+                    { "queue", record.queue_ },
+                    { "service", record.service_ },
+                    { "config", std::to_string(version) },
+                    { "config_age_ms", std::to_string(configAge.count()) },
+                    { "reason", aResult.reason_ } });
+      if (accepted || duplicate) {
+        aExchange->Reply(JsonAnswer(200, "{}"));
+      } else if (unknown) {
+        // The job may be stored, now or later, so the answer must
+        // not say that it is rejected.
+        noWritesBefore_ = clock_.Now() + kWritePauseAfterUnknown;
+        aExchange->Reply(JsonAnswer(504, "{}"));
+      } else {
+        aExchange->Reply(Unavailable());
+      }
+      if (accepted) {
+        leaderRpc_.AnnounceJob(record, aResult.revision_);
+      }
+    });
 }
 
 void JobApi::Show(const Exchange& aExchange,
--- a/lib/Node/JobsNode.cpp
+++ b/lib/Node/JobsNode.cpp
@@ -62,12 +62,14 @@
                         leader->SetAuthority(aAuthority);
                       }
                     })
-  , jobApi_(dependencies_.clock_,
-            dependencies_.wallClock_,
-            dependencies_.store_,
-            leaderRpc_,
-            format_,
-            [this] { return outageDetector_.ReachesStore(); })
+  , jobApi_(
+      dependencies_.clock_,
+      dependencies_.wallClock_,
+      dependencies_.store_,
+      leaderRpc_,
+      format_,
+      [this] { return outageDetector_.ReachesStore(); },
+      [this] { return operatorKeys_.Age(); })
   , front_(dependencies_.base_,
            {},
            [this](const std::shared_ptr<ServerExchange>& aExchange) {
--- a/lib/Store/PrefixFollower.cpp
+++ b/lib/Store/PrefixFollower.cpp
@@ -35,6 +35,7 @@
     ReadPage();
     return;
   }
+  sentAt_ = clock_.Now();
   std::weak_ptr<bool> alive = alive_;
   store_.Watch(options_.prefix_,
                revision_,
@@ -49,6 +50,7 @@
 void PrefixFollower::ReadPage()
 {
   std::string after = readItems_.empty() ? "" : readItems_.back().key_;
+  sentAt_ = clock_.Now();
   std::weak_ptr<bool> alive = alive_;
   store_.Range(options_.prefix_, after, [this, alive](Result<StorePage> aPage) {
     if (!alive.expired()) {
@@ -70,6 +72,7 @@
   // first page and repeats the events since.
   if (firstPageRevision_ == 0) {
     firstPageRevision_ = aPage->asOf_;
+    firstPageSentAt_ = sentAt_;
   }
   for (StoreItem& item : aPage->items_) {
     readItems_.push_back(std::move(item));
@@ -82,6 +85,7 @@
   firstPageRevision_ = 0;
   readingRange_ = false;
   hasSnapshot_ = true;
+  knownAsOf_ = firstPageSentAt_;
   std::vector<StoreItem> items = std::exchange(readItems_, {});
   timer_.Start(Millis(0));
   listener_.OnSnapshot(std::move(items));
@@ -103,6 +107,9 @@
     return;
   }
   revision_ = std::max(revision_, aEvents->asOf_);
+  // The store answers without events only at the end of the wait.
+  Millis waited = aEvents->events_.empty() ? options_.wait_ : Millis(0);
+  knownAsOf_ = std::min(sentAt_ + waited, clock_.Now());
   timer_.Start(options_.pause_);
   std::weak_ptr<bool> alive = alive_;
   for (const StoreEvent& event : aEvents->events_) {
@@ -115,22 +122,26 @@
 
 void PrefixFollower::OnAnswered()
 {
-  if (failing_) {
-    LogStateChange("store-reachable", { { "prefix", options_.prefix_ } });
+  if (failures_ > 0) {
+    LogStateChange("store-reachable",
+                   { { "prefix", options_.prefix_ },
+                     { "known_ms_ago", std::to_string(Age().count()) } });
   }
-  failing_ = false;
-  lastAnswer_ = clock_.Now();
+  failures_ = 0;
   backoff_.Reset();
 }
 
 void PrefixFollower::OnFailure(const Error& aError)
 {
-  if (!failing_) {
-    LogStateChange(
-      "store-unreachable",
-      { { "prefix", options_.prefix_ }, { "error", aError.Text() } });
-  }
-  failing_ = true;
+  ++failures_;
+  Count("store_reads_failed");
+  Millis sentAgo = clock_.Now() - sentAt_;
+  LogStateChange("store-unreachable",
+                 { { "prefix", options_.prefix_ },
+                   { "error", aError.Text() },
+                   { "failures", std::to_string(failures_) },
+                   { "sent_ms_ago", std::to_string(sentAgo.count()) },
+                   { "known_ms_ago", std::to_string(Age().count()) } });
   timer_.Start(backoff_.Next());
 }
 
