--- a/unittests/Node/LeaderElectionTest.cpp
+++ b/unittests/Node/LeaderElectionTest.cpp
@@ -2,6 +2,7 @@
 /// Tests leader election with an in-memory store.
 
 #include "coltsfootshed/Node/LeaderElection.h"
+#include "Support/FakeStore.h"
 #include "coltsfootshed/Store/Keys.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -9,140 +10,6 @@
 
 namespace coltsfootshed {
 
-namespace {
-
-/// Answers every call after one millisecond. A watch does not wait for events:
-/// it answers with an empty list if nothing changed, or never if watchesHang_
-/// is set.
-class FakeStore final : public KeyValueStore
-{
-public:
-  explicit FakeStore(event_base* aBase)
-    : base_(aBase)
-  {
-  }
-
-  void Get(std::string_view aKey, OnItem aOnItem) override
-  {
-    auto found = items_.find(std::string(aKey));
-    std::optional<StoreItem> item;
-    if (found != items_.end()) {
-      item = found->second;
-    }
-    Later([item, onItem = std::move(aOnItem)] { onItem(item); });
-  }
-  void Range(std::string_view aPrefix,
-             std::string_view,
-             OnPage aOnPage) override
-  {
-    StorePage page;
-    for (const auto& [key, item] : items_) {
-      if (key.starts_with(aPrefix)) {
-        page.items_.push_back(item);
-      }
-    }
-    page.asOf_ = revision_;
-    Later([page, onPage = std::move(aOnPage)] { onPage(page); });
-  }
-  void Watch(std::string_view aPrefix,
-             Revision aAfter,
-             Millis,
-             OnEvents aOnEvents) override
-  {
-    if (watchesHang_) {
-      return;
-    }
-    StoreEvents events;
-    for (const StoreEvent& event : history_) {
-      bool wanted =
-        event.item_.revision_ > aAfter && event.item_.key_.starts_with(aPrefix);
-      if (wanted) {
-        events.events_.push_back(event);
-      }
-    }
-    events.asOf_ = revision_;
-    Later([events, onEvents = std::move(aOnEvents)] { onEvents(events); });
-  }
-  void Commit(const Transaction& aTransaction, OnCommit aOnCommit) override
-  {
-    CommitResult result;
-    result.end_ = CommitEnd::Committed;
-    for (const StoreCondition& condition : aTransaction.conditions_) {
-      auto found = items_.find(condition.key_);
-      Revision now = found == items_.end() ? 0 : found->second.revision_;
-      if (now != condition.revision_) {
-        result.end_ = CommitEnd::ConditionFailed;
-      }
-    }
-    if (result.end_ == CommitEnd::Committed) {
-      result.revision_ = ++revision_;
-      for (const StorePut& put : aTransaction.puts_) {
-        Put(put.key_, put.value_, put.lease_);
-      }
-    }
-    Later([result, onCommit = std::move(aOnCommit)] { onCommit(result); });
-  }
-  void GrantLease(Millis, OnLease aOnLease) override
-  {
-    LeaseId lease = ++lastLease_;
-    Later([lease, onLease = std::move(aOnLease)] { onLease(lease); });
-  }
-  void KeepLease(LeaseId aLease, OnKeep aOnKeep) override
-  {
-    KeepEnd end = ended_.count(aLease) > 0 ? KeepEnd::Gone : KeepEnd::Kept;
-    Later([end, onKeep = std::move(aOnKeep)] { onKeep(end); });
-  }
-  void EndLease(LeaseId aLease, std::function<void()> aOnEnd) override
-  {
-    Expire(aLease);
-    Later(std::move(aOnEnd));
-  }
-
-  void Put(const std::string& aKey, const std::string& aValue, LeaseId aLease)
-  {
-    StoreItem item{ aKey, aValue, revision_, revision_, aLease };
-    items_[aKey] = item;
-    history_.push_back({ item, false });
-  }
-  void Expire(LeaseId aLease)
-  {
-    ended_.insert(aLease);
-    ++revision_;
-    std::erase_if(items_, [&](const auto& aEntry) {
-      if (aEntry.second.lease_ != aLease) {
-        return false;
-      }
-      StoreEvent event;
-      event.item_.key_ = aEntry.first;
-      event.item_.revision_ = revision_;
-      event.deleted_ = true;
-      history_.push_back(event);
-      return true;
-    });
-  }
-
-  std::map<std::string, StoreItem> items_;
-  std::set<LeaseId> ended_;
-  LeaseId lastLease_ = 100; ///< the first lease that is granted is 101
-  Revision revision_ = 1;
-  bool watchesHang_ = false;
-
-private:
-  void Later(std::function<void()> aFunction)
-  {
-    auto timer = std::make_shared<std::unique_ptr<Timer>>();
-    *timer = std::make_unique<Timer>(base_, std::move(aFunction));
-    (*timer)->Start(Millis(1));
-    timers_.push_back(timer);
-  }
-
-  event_base* base_;
-  std::vector<StoreEvent> history_;
-  std::vector<std::shared_ptr<std::unique_ptr<Timer>>> timers_;
-};
-
-} // namespace
-
 class LeaderElectionTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(LeaderElectionTest);
@@ -203,7 +70,7 @@
   {
     Start();
     RunUntil([this] { return duties_.count("a") > 0; });
-    store_->watchesHang_ = true;
+    store_->silentPrefix_ = keys::kElectionPrefix;
     store_->Expire(101);
     RunUntil([this] { return store_->lastLease_ > 101; });
     CPPUNIT_ASSERT_EQUAL(Revision(0), duties_.at("a"));
