Let a watch that follows a failure show at once whether the store answers

Callers saw: a route that had been added was refused with 404, or an old service ran a job, more than 2 s after the change was acknowledged, and with no disruption for 3 s.

Cause: a failed watch was repeated as a watch of 2 s, with 3.2 s until it counted as failed. Sent in the last moments of a silence of the store, it got no answer, and the VM sat on its old configuration for 3.2 s of a store that answered.

Jobs were accepted with a config_age_ms of up to 6 s.

Change: WatchSchedule decides how long a watch waits: only until the content would be as old as the longest wait, and after a failure not at all. A lost call then fails after 1.2 s, and the store is asked again within 0.4 s. It also keeps Age, which PrefixFollower had computed itself.

--- a/include/coltsfootshed/Store/PrefixFollower.h
+++ b/include/coltsfootshed/Store/PrefixFollower.h
@@ -6,7 +6,7 @@
 #define COLTSFOOTSHED_STORE_PREFIXFOLLOWER_H
 
 #include "coltsfootshed/Store/KeyValueStore.h"
-#include "coltsfootshed/Support/Backoff.h"
+#include "coltsfootshed/Store/WatchSchedule.h"
 #include "coltsfootshed/Support/Timer.h"
 
 #include <memory>
@@ -31,7 +31,7 @@
   struct Options
   {
     std::string prefix_;
-    Millis wait_{ 2000 }; ///< how long one watch may wait for events
+    Millis wait_{ 2000 }; ///< how long one watch may wait for events at most
     Millis pause_{ 0 }; ///< between watches, so that one returns several events
   };
 
@@ -46,10 +46,8 @@
   PrefixFollower(const PrefixFollower&) = delete;
   PrefixFollower& operator=(const PrefixFollower&) = delete;
 
-  /// Returns the age of the listener's state: all changes that the store
-  /// accepted longer ago have been reported. Counted from the sending of a
-  /// call, as its answer may arrive late.
-  Millis Age() const { return clock_.Now() - knownAsOf_; }
+  /// Returns the age of the listener's state, see WatchSchedule::Age.
+  Millis Age() const { return schedule_.Age(); }
   /// Returns true once the whole range has been read for the first time.
   bool HasSnapshot() const { return hasSnapshot_; }
 
@@ -62,23 +60,18 @@
   void OnFailure(const Error& aError);
   void OnAnswered();
 
-  const Clock& clock_;
   KeyValueStore& store_;
   PrefixListener& listener_;
   Options options_;
-  Backoff backoff_;
+  WatchSchedule schedule_;
   Timer timer_;
   /// Expires with this object, so that late callbacks return at once.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   bool hasSnapshot_ = false;
   bool readingRange_ = true;
-  int failures_ = 0;                 ///< since the last answer
   std::vector<StoreItem> readItems_; ///< pages read so far
   Revision firstPageRevision_ = 0;
-  Millis firstPageSentAt_{ 0 };
   Revision revision_ = 0;
-  Millis sentAt_{ 0 }; ///< sending of the last call
-  Millis knownAsOf_{ 0 };
 };
 
 } // namespace coltsfootshed
--- a/lib/Store/PrefixFollower.cpp
+++ b/lib/Store/PrefixFollower.cpp
@@ -6,22 +6,16 @@
 
 namespace coltsfootshed {
 
-static constexpr Millis kFirstRetryDelay{ 50 };
-/// Short enough to notice the end of a store outage soon, long enough to limit
-/// the load of the calls of all entry VMs during it.
-static constexpr Millis kMaxRetryDelay{ 400 };
-
 PrefixFollower::PrefixFollower(event_base* aBase,
                                const Clock& aClock,
                                KeyValueStore& aStore,
                                PrefixListener& aListener,
                                Options aOptions,
                                std::uint64_t aSeed)
-  : clock_(aClock)
-  , store_(aStore)
+  : store_(aStore)
   , listener_(aListener)
   , options_(std::move(aOptions))
-  , backoff_(kFirstRetryDelay, kMaxRetryDelay, aSeed)
+  , schedule_(aClock, options_.wait_, aSeed)
   , timer_(aBase, [this] { ReadOrWatch(); })
 {
   timer_.Start(Millis(0));
@@ -35,11 +29,10 @@
     ReadPage();
     return;
   }
-  sentAt_ = clock_.Now();
   std::weak_ptr<bool> alive = alive_;
   store_.Watch(options_.prefix_,
                revision_,
-               options_.wait_,
+               schedule_.OnWatchSent(),
                [this, alive](Result<StoreEvents> aEvents) {
                  if (!alive.expired()) {
                    OnWatched(std::move(aEvents));
@@ -50,7 +43,7 @@
 void PrefixFollower::ReadPage()
 {
   std::string after = readItems_.empty() ? "" : readItems_.back().key_;
-  sentAt_ = clock_.Now();
+  schedule_.OnPageSent(readItems_.empty());
   std::weak_ptr<bool> alive = alive_;
   store_.Range(options_.prefix_, after, [this, alive](Result<StorePage> aPage) {
     if (!alive.expired()) {
@@ -72,7 +65,6 @@
   // first page and repeats the events since.
   if (firstPageRevision_ == 0) {
     firstPageRevision_ = aPage->asOf_;
-    firstPageSentAt_ = sentAt_;
   }
   for (StoreItem& item : aPage->items_) {
     readItems_.push_back(std::move(item));
@@ -85,7 +77,7 @@
   firstPageRevision_ = 0;
   readingRange_ = false;
   hasSnapshot_ = true;
-  knownAsOf_ = firstPageSentAt_;
+  schedule_.OnRangeRead();
   std::vector<StoreItem> items = std::exchange(readItems_, {});
   timer_.Start(Millis(0));
   listener_.OnSnapshot(std::move(items));
@@ -107,9 +99,7 @@
     return;
   }
   revision_ = std::max(revision_, aEvents->asOf_);
-  // The store answers without events only at the end of the wait.
-  Millis waited = aEvents->events_.empty() ? options_.wait_ : Millis(0);
-  knownAsOf_ = std::min(sentAt_ + waited, clock_.Now());
+  schedule_.OnWatched(!aEvents->events_.empty());
   timer_.Start(options_.pause_);
   std::weak_ptr<bool> alive = alive_;
   for (const StoreEvent& event : aEvents->events_) {
@@ -122,27 +112,25 @@
 
 void PrefixFollower::OnAnswered()
 {
-  if (failures_ > 0) {
+  if (schedule_.Failures() > 0) {
     LogStateChange("store-reachable",
                    { { "prefix", options_.prefix_ },
                      { "known_ms_ago", std::to_string(Age().count()) } });
   }
-  failures_ = 0;
-  backoff_.Reset();
+  schedule_.OnAnswered();
 }
 
 void PrefixFollower::OnFailure(const Error& aError)
 {
-  ++failures_;
   Count("store_reads_failed");
-  Millis sentAgo = clock_.Now() - sentAt_;
-  LogStateChange("store-unreachable",
-                 { { "prefix", options_.prefix_ },
-                   { "error", aError.Text() },
-                   { "failures", std::to_string(failures_) },
-                   { "sent_ms_ago", std::to_string(sentAgo.count()) },
-                   { "known_ms_ago", std::to_string(Age().count()) } });
-  timer_.Start(backoff_.Next());
+  timer_.Start(schedule_.OnFailure());
+  LogStateChange(
+    "store-unreachable",
+    { { "prefix", options_.prefix_ },
+      { "error", aError.Text() },
+      { "failures", std::to_string(schedule_.Failures()) },
+      { "sent_ms_ago", std::to_string(schedule_.SinceSent().count()) },
+      { "known_ms_ago", std::to_string(Age().count()) } });
 }
 
 } // namespace coltsfootshed
