Derive the wait of a watch and the time-out of a call from what is promised

Cause: the wait (2,000 ms) and the time-out (1,200 ms) were constants, whatever an installation promises. A watch that is lost was missed only after 3.2 s, and even without any loss the content was up to 2 s and an answer's delay old, where 2,000 ms are promised. An installation with tighter bounds would have missed them by more. All four followed prefixes had the same constants: the operators' keys, members and leaders, targets, and jobs with cancel marks.

Change: the settings ContactMs and ConfigMs are read; StoreTimeoutsFor derives both figures from them. Without loss the content is at most the wait and one answer's delay old.

The probe after a failure needs no condition of its own: the age of the content is then above the longest wait.

--- a/include/coltsfootshed/Node/JobsNode.h
+++ b/include/coltsfootshed/Node/JobsNode.h
@@ -9,6 +9,7 @@
 #include "coltsfootshed/Node/NodeSettings.h"
 #include "coltsfootshed/Node/PoolManager.h"
 #include "coltsfootshed/Node/StoreOutageDetector.h"
+#include "coltsfootshed/Node/StoreTimeouts.h"
 #include "coltsfootshed/Node/TargetRegistry.h"
 
 namespace coltsfootshed {
@@ -29,6 +30,7 @@
 
   JobsNode(Dependencies aDependencies,
            NodeSettings aSettings,
+           StoreTimeouts aTimeouts,
            WireFormat aFormat);
   ~JobsNode() override;
 
@@ -58,6 +60,7 @@
 
   Dependencies dependencies_;
   NodeSettings settings_;
+  StoreTimeouts timeouts_;
   WireFormat format_;
   std::shared_ptr<const JobsConfig> config_;
   std::map<std::string, std::unique_ptr<ServiceLeader>, std::less<>> leaders_;
--- a/include/coltsfootshed/Node/LeaderElection.h
+++ b/include/coltsfootshed/Node/LeaderElection.h
@@ -31,6 +31,7 @@
     Endpoint peers_;          ///< where this VM serves other entry VMs
     double share_ = 1;        ///< of one CPU core; larger VMs lead more duties
     Millis minLease_{ 1000 }; ///< shortest lease that the store grants
+    Millis longestWatch_{ 1000 }; ///< wait of a watch for events
   };
   /// Called when this VM begins to lead a duty, with the revision of the
   /// leader's key, and with revision 0 when it ceases to.
--- a/include/coltsfootshed/Node/NodeSettings.h
+++ b/include/coltsfootshed/Node/NodeSettings.h
@@ -26,6 +26,10 @@
   Millis endedJobRetention_{ 120000 }; ///< how long an ended job can be queried
   /// Within this time, two pool managers must not both order the same VM.
   Millis vmHolderLease_{ 3000 };
+  /// A VM is expected to keep all bounds again this long after a disruption.
+  Millis contactTime_{ 3000 };
+  /// From the acknowledgement of a configuration until it must be in force.
+  Millis configDeadline_{ 2000 };
   double remoteDataSlowdown_ = 1; ///< slowdown of a task away from its data
 };
 
--- a/include/coltsfootshed/Node/ServiceLeader.h
+++ b/include/coltsfootshed/Node/ServiceLeader.h
@@ -30,6 +30,7 @@
     Millis longestLease_{ 10000 }; ///< longest lease that a target grants
     /// How long an ended job can be queried.
     Millis endedJobRetention_{ 120000 };
+    Millis longestWatch_{ 1000 };   ///< wait of a watch for events
     double remoteDataSlowdown_ = 1; ///< slowdown of a task away from its data
   };
 
--- a/include/coltsfootshed/Node/TargetRegistry.h
+++ b/include/coltsfootshed/Node/TargetRegistry.h
@@ -23,12 +23,14 @@
     std::function<void(const std::string&)> onGone_;
   };
 
-  /// aSeed is the seed for the random part of retry delays.
+  /// aLongestWatch is the longest wait of a watch; aSeed is the seed for the
+  /// random part of retry delays.
   TargetRegistry(event_base* aBase,
                  const Clock& aClock,
                  KeyValueStore& aStore,
                  const WireFormat& aFormat,
                  Listener aListener,
+                 Millis aLongestWatch,
                  std::uint64_t aSeed);
 
   const std::map<std::string, TargetInfo>& Targets() const { return targets_; }
--- a/include/coltsfootshed/Store/WatchSchedule.h
+++ b/include/coltsfootshed/Store/WatchSchedule.h
@@ -8,19 +8,15 @@
 
 namespace coltsfootshed {
 
-/// An unanswered watch shows only when its wait and the time-out of a call are
-/// over. So a watch waits no longer than until the content would be aMaxWait
-/// old, and one that follows a failure does not wait: it only shows whether the
-/// store answers.
+/// That a watch gets no answer shows only when its wait and the time-out of a
+/// call are over. So a watch waits no longer than until the known content would
+/// be as old as the longest wait. If it is older, as after a lost call, the
+/// watch does not wait and only shows whether the store answers.
 class WatchSchedule
 {
 public:
-  /// aMaxWait is the longest wait of a watch; aSeed is the seed for the random
-  /// part of retry delays.
-  WatchSchedule(const Clock& aClock, Millis aMaxWait, std::uint64_t aSeed);
-
-  /// Longest delay before a failed call is repeated.
-  static constexpr Millis kMaxRetryDelay{ 400 };
+  /// aSeed is the seed for the random part of retry delays.
+  WatchSchedule(const Clock& aClock, Millis aLongestWait, std::uint64_t aSeed);
 
   /// Notes that a page of the range is read.
   void OnPageSent(bool aIsFirst);
@@ -43,7 +39,7 @@
 
 private:
   const Clock& clock_;
-  Millis maxWait_;
+  Millis longestWait_;
   Backoff backoff_;
   int failures_ = 0;
   Millis sentAt_{ 0 };      ///< of the last call
--- a/lib/Node/JobsNode.cpp
+++ b/lib/Node/JobsNode.cpp
@@ -34,9 +34,11 @@
 
 JobsNode::JobsNode(Dependencies aDependencies,
                    NodeSettings aSettings,
+                   StoreTimeouts aTimeouts,
                    WireFormat aFormat)
   : dependencies_(aDependencies)
   , settings_(std::move(aSettings))
+  , timeouts_(aTimeouts)
   , format_(std::move(aFormat))
   , election_(dependencies_.base_,
               dependencies_.clock_,
@@ -44,7 +46,8 @@
               { settings_.node_,
                 settings_.peers_,
                 settings_.cpuShare_,
-                settings_.minLease_ },
+                settings_.minLease_,
+                timeouts_.watch_ },
               [this](const std::string& aDuty, Revision aRevision) {
                 OnLeadership(aDuty, aRevision);
               })
@@ -89,7 +92,7 @@
                   dependencies_.clock_,
                   dependencies_.store_,
                   *this,
-                  { format_.operatorPrefix_ },
+                  { format_.operatorPrefix_, timeouts_.watch_ },
                   SeedOf(settings_.node_))
   , flushTimer_(dependencies_.base_,
                 [this] {
@@ -246,6 +249,7 @@
   options.lease_ = std::min(kRunLease, settings_.longestTargetLease_ / 2);
   options.longestLease_ = settings_.longestTargetLease_;
   options.endedJobRetention_ = settings_.endedJobRetention_;
+  options.longestWatch_ = timeouts_.watch_;
   options.remoteDataSlowdown_ = settings_.remoteDataSlowdown_;
   auto leader =
     std::make_unique<ServiceLeader>(dependencies, options, [this, aDuty] {
@@ -279,6 +283,7 @@
                                   leader->UnregisterTarget(aId);
                                 }
                               } },
+    timeouts_.watch_,
     SeedOf(settings_.node_));
 }
 
--- a/lib/Node/LeaderElection.cpp
+++ b/lib/Node/LeaderElection.cpp
@@ -45,7 +45,7 @@
               aClock,
               aStore,
               *this,
-              { keys::kElectionPrefix },
+              { keys::kElectionPrefix, options_.longestWatch_ },
               XXH3_64bits(options_.node_.data(), options_.node_.size()))
 {
   keepTimer_.Start(Millis(0));
--- a/lib/Node/ServiceLeader.cpp
+++ b/lib/Node/ServiceLeader.cpp
@@ -142,7 +142,7 @@
         dependencies_.store_,
         static_cast<PrefixListener&>(*this),
         PrefixFollower::Options{
-          keys::kWorkPrefix, Millis(2000), kWorkWatchPause },
+          keys::kWorkPrefix, options_.longestWatch_, kWorkWatchPause },
         options_.fence_);
     }));
 }
--- a/lib/Node/TargetRegistry.cpp
+++ b/lib/Node/TargetRegistry.cpp
@@ -21,6 +21,7 @@
                                KeyValueStore& aStore,
                                const WireFormat& aFormat,
                                Listener aListener,
+                               Millis aLongestWatch,
                                std::uint64_t aSeed)
   : clock_(aClock)
   , format_(aFormat)
@@ -30,7 +31,7 @@
               aClock,
               aStore,
               *this,
-              { aFormat.registryPrefix_, Millis(2000), kWatchPause },
+              { aFormat.registryPrefix_, aLongestWatch, kWatchPause },
               aSeed)
 {
 }
--- a/lib/Store/PrefixFollower.cpp
+++ b/lib/Store/PrefixFollower.cpp
@@ -15,7 +15,7 @@
   : store_(aStore)
   , listener_(aListener)
   , options_(std::move(aOptions))
-  , schedule_(aClock, options_.wait_, aSeed)
+  , schedule_(aClock, options_.longestWatch_, aSeed)
   , timer_(aBase, [this] { ReadOrWatch(); })
 {
   timer_.Start(Millis(0));
--- a/lib/Store/WatchSchedule.cpp
+++ b/lib/Store/WatchSchedule.cpp
@@ -5,14 +5,16 @@
 namespace coltsfootshed {
 
 static constexpr Millis kFirstRetryDelay{ 50 };
-/// The shortest wait that a watch may have.
-static constexpr Millis kMinWait{ 1 };
+/// Short enough to notice the end of a store outage soon, long enough to limit
+/// the load of the calls of all entry VMs during it.
+static constexpr Millis kMaxRetryDelay{ 400 };
+static constexpr Millis kShortestWait{ 1 };
 
 WatchSchedule::WatchSchedule(const Clock& aClock,
-                             Millis aMaxWait,
+                             Millis aLongestWait,
                              std::uint64_t aSeed)
   : clock_(aClock)
-  , maxWait_(std::max(aMaxWait, kMinWait))
+  , longestWait_(std::max(aLongestWait, kShortestWait))
   , backoff_(kFirstRetryDelay, kMaxRetryDelay, aSeed)
 {
 }
@@ -34,8 +36,7 @@
 Millis WatchSchedule::OnWatchSent()
 {
   sentAt_ = clock_.Now();
-  wait_ =
-    failures_ > 0 ? kMinWait : std::clamp(maxWait_ - Age(), kMinWait, maxWait_);
+  wait_ = std::clamp(longestWait_ - Age(), kShortestWait, longestWait_);
   return wait_;
 }
 
--- a/unittests/Platform/DocumentsTest.cpp
+++ b/unittests/Platform/DocumentsTest.cpp
@@ -34,6 +34,7 @@
 Ready = "10.1.0.9:8622"
 [Bounds]
 MaxHoldMs = 8000
+ContactMs = 4000
 FarX = 1.5
 [platform]
 Addr = "10.200.1.7:8621"
@@ -41,6 +42,8 @@
     CPPUNIT_ASSERT(settings.has_value());
     CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.9:7060"), settings->peers_.Text());
     CPPUNIT_ASSERT(settings->longestTargetLease_ == Millis(8000));
+    CPPUNIT_ASSERT(settings->contactTime_ == Millis(4000));
+    CPPUNIT_ASSERT(settings->configDeadline_ == Millis(2000));
     CPPUNIT_ASSERT_EQUAL(1.5, settings->remoteDataSlowdown_);
     CPPUNIT_ASSERT(settings->advice_.has_value());
     CPPUNIT_ASSERT(!settings->vmService_.has_value());
--- a/unittests/Store/PrefixFollowerTest.cpp
+++ b/unittests/Store/PrefixFollowerTest.cpp
@@ -50,7 +50,8 @@
     FakeStore store(base_);
     LastValue seen;
     store.Change("op/config", "old");
-    PrefixFollower follower(base_, clock_, store, seen, { "op/" }, 1);
+    PrefixFollower follower(
+      base_, clock_, store, seen, { "op/", Millis(2000) }, 1);
     RunUntil([&] { return store.watches_ > 0; });
     store.silent_ = true;
     RunUntil([&] { return store.unansweredWatches_ > 1; });
