Say 404 or accept a job only with a configuration that is known to be current

Callers saw: 404 for a route that existed, and jobs that an old service ran.

Cause: a VM that holds a configuration took it for the newest. During a silence of the store, and until a watch showed otherwise, it denied queues that it could not know of. After the silence it accepted jobs for queues that had been moved or removed. Nothing compared the age of its knowledge with the 2 s after which a change must be in force.

Change: ConfigFreshness compares it. With knowledge older than ConfigMs - a path of no known queue gets 503 with Retry-After, not 404; - a job is written on condition that the configuration still has the revision that is known, so that the store decides; if it has changed, the client gets 503 and nothing is stored; - requests for known queues are served as before while the store is unreachable, as job states are true under any configuration. A VM that has reached the store for ContactMs without learning of its configuration refuses them, and is not ready.

Test: JobsNodeTest, a whole entry VM with an in-memory store, four tests.

--- a/include/coltsfootshed/Node/JobApi.h
+++ b/include/coltsfootshed/Node/JobApi.h
@@ -5,6 +5,7 @@
 #define COLTSFOOTSHED_NODE_JOBAPI_H
 
 #include "coltsfootshed/Http/Server.h"
+#include "coltsfootshed/Node/ConfigFreshness.h"
 #include "coltsfootshed/Node/LeaderRpc.h"
 #include "coltsfootshed/Node/WireFormat.h"
 
@@ -15,21 +16,21 @@
 public:
   /// Returns whether the store has answered this VM recently.
   using ReachesStore = std::function<bool()>;
-  /// Returns the age of this VM's knowledge of the configuration.
-  using ConfigAge = std::function<Millis()>;
 
   JobApi(const Clock& aClock,
          const Clock& aWallClock,
          KeyValueStore& aStore,
          LeaderRpc& aLeaderRpc,
          const WireFormat& aFormat,
-         ReachesStore aReachesStore,
-         ConfigAge aConfigAge);
+         const ConfigFreshness& aFreshness,
+         ReachesStore aReachesStore);
 
-  /// Sets the current configuration. Requests get 503 until the first call.
-  void SetConfig(std::shared_ptr<const JobsConfig> aConfig)
+  /// Sets the newest configuration that is known and the revision of its item
+  /// in the store. Requests get 503 until the first call.
+  void SetConfig(std::shared_ptr<const JobsConfig> aConfig, Revision aRevision)
   {
     config_ = std::move(aConfig);
+    configRevision_ = aRevision;
   }
   /// Handles one client request and replies to it.
   void Serve(const std::shared_ptr<ServerExchange>& aExchange);
@@ -56,6 +57,7 @@
   void ShowWaiting(const Exchange& aExchange, const QueueConfig& aQueue);
 
   bool MayWrite() const;
+  void RejectConfigOld(const Exchange& aExchange);
   void RejectUnknownQueue(const Exchange& aExchange,
                           const std::string& aNearestQueue);
 
@@ -64,10 +66,11 @@
   KeyValueStore& store_;
   LeaderRpc& leaderRpc_;
   const WireFormat& format_;
+  const ConfigFreshness& freshness_;
   ReachesStore reachesStore_;
-  ConfigAge configAge_;
   Millis noWritesBefore_{ 0 }; ///< set when a write got no answer
   std::shared_ptr<const JobsConfig> config_;
+  Revision configRevision_ = 0;
 };
 
 } // namespace coltsfootshed
--- a/include/coltsfootshed/Node/JobsNode.h
+++ b/include/coltsfootshed/Node/JobsNode.h
@@ -69,6 +69,7 @@
   LeaderElection election_;
   LeaderRpc leaderRpc_;
   StoreOutageDetector outageDetector_;
+  ConfigFreshness freshness_;
   JobApi jobApi_;
   std::map<std::int64_t, WaveConfig> waves_;
   /// Null unless this VM leads the duty keys::kPoolsDuty.
--- a/include/coltsfootshed/Node/StoreOutageDetector.h
+++ b/include/coltsfootshed/Node/StoreOutageDetector.h
@@ -26,6 +26,8 @@
   /// Returns whether this VM reaches the store; also the answer to another VM's
   /// request for kPath.
   bool ReachesStore() const;
+  /// Returns whether this VM has reached the store for the last aDuration.
+  bool HasReachedStoreFor(Millis aDuration) const;
 
   static constexpr const char* kPath = "/reaches-store";
   static constexpr const char* kYes = "yes";
@@ -42,6 +44,7 @@
   OnAuthority onAuthority_;
   HttpClient httpClient_;
   Timer timer_;
+  Millis unreachedAt_; ///< the last check at which the store was not reached
   /// When another VM last answered that it does not reach the store, by VM.
   std::map<std::string, Millis> storeUnreachableAt_;
 };
--- a/lib/Node/JobApi.cpp
+++ b/lib/Node/JobApi.cpp
@@ -1,7 +1,7 @@
 #include "coltsfootshed/Node/JobApi.h"
 
 #include "coltsfootshed/Observe/DecisionLog.h"
-#include "coltsfootshed/Store/Keys.h"
+#include "coltsfootshed/Store/FencedWrite.h"
 
 #include <nlohmann/json.hpp>
 
@@ -32,15 +32,15 @@
                KeyValueStore& aStore,
                LeaderRpc& aLeaderRpc,
                const WireFormat& aFormat,
-               ReachesStore aReachesStore,
-               ConfigAge aConfigAge)
+               const ConfigFreshness& aFreshness,
+               ReachesStore aReachesStore)
   : clock_(aClock)
   , wallClock_(aWallClock)
   , store_(aStore)
   , leaderRpc_(aLeaderRpc)
   , format_(aFormat)
+  , freshness_(aFreshness)
   , reachesStore_(std::move(aReachesStore))
-  , configAge_(std::move(aConfigAge))
 {
 }
 
@@ -60,21 +60,28 @@
     aExchange->Reply(Unavailable());
     return;
   }
-  Observe("config_age_ms", configAge_());
+  Observe("config_age_ms", freshness_.Age());
   std::string_view path = PathOf(request.target_);
   auto host = FindHeader(request.headers_, "Host");
   const QueueConfig* queue = config_->Find(host.value_or(""), path);
-  if (queue == nullptr) {
-    RejectUnknownQueue(aExchange, "");
+  std::string job(queue == nullptr ? std::string_view()
+                                   : path.substr(queue->prefix_.size()));
+  bool asksWaiting =
+    queue != nullptr && job.empty() && request.method_ == "GET";
+  // A path without a job's id may belong to a queue that this VM's
+  // configuration lacks yet.
+  bool isKnown = asksWaiting || (queue != nullptr && IsJobId(job));
+  if (isKnown ? !freshness_.MayServe() : !freshness_.IsCurrent()) {
+    RejectConfigOld(aExchange);
+    return;
+  }
+  if (!isKnown) {
+    RejectUnknownQueue(aExchange, queue == nullptr ? "" : queue->name_);
     return;
   }
-  std::string job(path.substr(queue->prefix_.size()));
   Count("requests_" + request.method_);
-  if (job.empty() && request.method_ == "GET") {
+  if (asksWaiting) {
     ShowWaiting(aExchange, *queue);
-  } else if (!IsJobId(job)) {
-    // The path may belong to a queue that this VM's configuration lacks yet.
-    RejectUnknownQueue(aExchange, queue->name_);
   } else if (request.method_ == "POST") {
     Submit(aExchange, *queue, job);
   } else if (request.method_ == "GET") {
@@ -86,6 +93,18 @@
   }
 }
 
+/// Replies to a request that the known configuration is too old to decide.
+void JobApi::RejectConfigOld(const Exchange& aExchange)
+{
+  LogDecision(
+    "config-old",
+    { { "path", std::string(PathOf(aExchange->Request().target_)) },
+      { "config", std::to_string(config_->version_) },
+      { "config_age_ms", std::to_string(freshness_.Age().count()) } });
+  Count("requests_rejected_config_old");
+  aExchange->Reply(Unavailable());
+}
+
 /// Replies to a request whose path belongs to no queue. aNearestQueue is the
 /// queue whose prefix matches, if there is one.
 void JobApi::RejectUnknownQueue(const Exchange& aExchange,
@@ -93,12 +112,13 @@
 {
   const HttpRequest& request = aExchange->Request();
   auto host = FindHeader(request.headers_, "Host");
-  LogDecision("no-queue",
-              { { "path", std::string(PathOf(request.target_)) },
-                { "host", std::string(host.value_or("")) },
-                { "nearest", aNearestQueue },
-                { "config", std::to_string(config_->version_) },
-                { "config_age_ms", std::to_string(configAge_().count()) } });
+  LogDecision(
+    "no-queue",
+    { { "path", std::string(PathOf(request.target_)) },
+      { "host", std::string(host.value_or("")) },
+      { "nearest", aNearestQueue },
+      { "config", std::to_string(config_->version_) },
+      { "config_age_ms", std::to_string(freshness_.Age().count()) } });
   aExchange->Reply(JsonAnswer(404, "{}"));
 }
 
@@ -137,14 +157,19 @@
   Transaction transaction;
   transaction.conditions_.push_back({ keys::Job(aJob), 0 });
   transaction.puts_.push_back({ keys::Job(aJob), EncodeRecord(record) });
+  if (!freshness_.IsCurrent()) {
+    // The store then decides whether the configuration is still in force.
+    transaction.conditions_.push_back({ format_.configKey_, configRevision_ });
+  }
   std::uint64_t version = config_->version_;
-  Millis configAge = configAge_();
+  Millis configAge = freshness_.Age();
   store_.Commit(
     transaction,
     [this, aExchange, record = std::move(record), version, configAge](
       const CommitResult& aResult) {
       bool accepted = aResult.end_ == CommitEnd::Committed;
-      bool duplicate = aResult.end_ == CommitEnd::ConditionFailed;
+      bool duplicate = aResult.end_ == CommitEnd::ConditionFailed &&
+                       RevisionAfter(aResult, keys::Job(record.id_), 0) != 0;
       bool unknown = aResult.end_ == CommitEnd::Unknown;
       LogDecision(accepted    ? "job-accepted"
                   : duplicate ? "job-known"
--- a/lib/Node/JobsNode.cpp
+++ b/lib/Node/JobsNode.cpp
@@ -65,14 +65,17 @@
                         leader->SetAuthority(aAuthority);
                       }
                     })
-  , jobApi_(
-      dependencies_.clock_,
-      dependencies_.wallClock_,
-      dependencies_.store_,
-      leaderRpc_,
-      format_,
-      [this] { return outageDetector_.ReachesStore(); },
-      [this] { return operatorKeys_.Age(); })
+  , freshness_(operatorKeys_,
+               outageDetector_,
+               settings_.configDeadline_,
+               settings_.contactTime_)
+  , jobApi_(dependencies_.clock_,
+            dependencies_.wallClock_,
+            dependencies_.store_,
+            leaderRpc_,
+            format_,
+            freshness_,
+            [this] { return outageDetector_.ReachesStore(); })
   , front_(dependencies_.base_,
            {},
            [this](const std::shared_ptr<ServerExchange>& aExchange) {
@@ -177,6 +180,9 @@
     return;
   }
   if (config_ != nullptr && config->version_ <= config_->version_) {
+    if (config->version_ == config_->version_) {
+      jobApi_.SetConfig(config_, aItem.revision_);
+    }
     return;
   }
   LogStateChange("config",
@@ -185,7 +191,7 @@
                    { "queues", std::to_string(config->queues_.size()) },
                    { "services", std::to_string(config->services_.size()) } });
   config_ = std::make_shared<const JobsConfig>(std::move(*config));
-  jobApi_.SetConfig(config_);
+  jobApi_.SetConfig(config_, aItem.revision_);
   if (poolManager_ != nullptr) {
     poolManager_->SetConfig(config_);
   }
@@ -303,7 +309,8 @@
 bool JobsNode::IsReady() const
 {
   return !stopping_ && config_ != nullptr && election_.IsMember() &&
-         election_.TimeSinceRenewal() < kMaxReadyStoreAge;
+         election_.TimeSinceRenewal() < kMaxReadyStoreAge &&
+         freshness_.MayServe();
 }
 
 void JobsNode::Stop()
--- a/lib/Node/StoreOutageDetector.cpp
+++ b/lib/Node/StoreOutageDetector.cpp
@@ -23,6 +23,7 @@
   , onAuthority_(std::move(aOnAuthority))
   , httpClient_(aBase, aClock, 1)
   , timer_(aBase, [this] { Tick(); })
+  , unreachedAt_(aClock.Now())
 {
   timer_.Start(kTickInterval);
 }
@@ -32,10 +33,16 @@
   return election_.TimeSinceRenewal() < kMaxHealthyAge;
 }
 
+bool StoreOutageDetector::HasReachedStoreFor(Millis aDuration) const
+{
+  return ReachesStore() && clock_.Now() - unreachedAt_ >= aDuration;
+}
+
 void StoreOutageDetector::Tick()
 {
   timer_.Start(kTickInterval);
   if (!ReachesStore()) {
+    unreachedAt_ = clock_.Now();
     Ask();
   }
   onAuthority_(CurrentAuthority());
--- /dev/null
+++ b/unittests/Node/JobsNodeTest.cpp
@@ -0,0 +1,219 @@
+/// \file
+/// Tests what an entry VM answers to clients while its configuration is old.
+
+#include "coltsfootshed/Node/JobsNode.h"
+#include "Documents.h"
+#include "Support/FakeStore.h"
+#include "coltsfootshed/Http/Client.h"
+#include "coltsfootshed/Store/Keys.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace coltsfootshed {
+
+namespace {
+
+/// There are no targets in these tests.
+class NoTargets final : public TargetCalls
+{
+public:
+  void Hold(const TargetInfo&,
+            const HoldOrder&,
+            std::function<void(HoldAnswer)>) override
+  {
+  }
+  void Start(const TargetInfo&,
+             const StartOrder&,
+             std::function<void(OrderAnswer)>) override
+  {
+  }
+  void Stop(const TargetInfo&,
+            const StopOrder&,
+            std::function<void(OrderAnswer)>) override
+  {
+  }
+  void Pace(const TargetInfo&,
+            const PaceOrder&,
+            std::function<void(OrderAnswer)>) override
+  {
+  }
+};
+
+constexpr const char* kConfig =
+  R"({"Version":1,"Services":[{"Name":"s"}],
+      "Routes":[{"Name":"q","Host":"h","Prefix":"/q/","Service":"s"}]})";
+constexpr const char* kNewConfig =
+  R"({"Version":2,"Services":[{"Name":"s"}],
+      "Routes":[{"Name":"n","Host":"h","Prefix":"/n/","Service":"s"}]})";
+constexpr const char* kJobPath = "/q/0123456789abcdef";
+constexpr const char* kJob = R"({"Spec":"s","Steps":[{"Count":1,"Cpu":1}]})";
+
+} // namespace
+
+class JobsNodeTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(JobsNodeTest);
+  CPPUNIT_TEST(UnknownQueueIsNotDeniedWithAnOldConfiguration);
+  CPPUNIT_TEST(KnownQueueIsServedWhileTheStoreIsSilent);
+  CPPUNIT_TEST(KnownQueueIsRefusedIfOnlyItsConfigurationIsOld);
+  CPPUNIT_TEST(JobIsNotAcceptedUnderAConfigurationThatHasChanged);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr Millis kConfigDeadline{ 2000 };
+  static constexpr Millis kMargin{ 200 };
+  static constexpr StoreTimeouts kTimeouts{ Millis(1200), Millis(100) };
+
+public:
+  void setUp() override
+  {
+    base_ = event_base_new();
+    store_ = std::make_unique<FakeStore>(base_);
+    store_->Change(platform::PlatformFormat().configKey_, kConfig);
+    client_ = std::make_unique<HttpClient>(base_, clock_, 4);
+  }
+  void tearDown() override
+  {
+    node_.reset();
+    client_.reset();
+    store_.reset();
+    event_base_free(base_);
+  }
+
+  /// Incident CONFIG: a client was told that a queue does not exist, by a VM
+  /// that could not know.
+  void UnknownQueueIsNotDeniedWithAnOldConfiguration()
+  {
+    Start(Millis(100000));
+    CPPUNIT_ASSERT_EQUAL(404, Call("GET", "/n/").code_);
+    store_->silentPrefix_ = platform::PlatformFormat().operatorPrefix_;
+    store_->Change(platform::PlatformFormat().configKey_, kNewConfig);
+    RunFor(kConfigDeadline + kMargin);
+    for (const char* path : { "/n/", "/n/0123456789abcdef", "/q/no-job-id" }) {
+      HttpAnswer answer = Call("GET", path);
+      CPPUNIT_ASSERT_EQUAL(503, answer.code_);
+      CPPUNIT_ASSERT(FindHeader(answer.headers_, "Retry-After").has_value());
+    }
+    store_->silentPrefix_.clear();
+    while (Call("GET", "/n/").code_ != 200) {
+      RunFor(Millis(20));
+    }
+    CPPUNIT_ASSERT_EQUAL(404, Call("GET", "/q/").code_);
+  }
+
+  void KnownQueueIsServedWhileTheStoreIsSilent()
+  {
+    Start(Millis(0));
+    store_->silent_ = true;
+    RunFor(kConfigDeadline + kMargin);
+    CPPUNIT_ASSERT_EQUAL(200, Call("GET", "/q/").code_);
+    CPPUNIT_ASSERT_EQUAL(503, Call("GET", "/n/").code_);
+  }
+
+  void KnownQueueIsRefusedIfOnlyItsConfigurationIsOld()
+  {
+    Start(Millis(0));
+    CPPUNIT_ASSERT_EQUAL(200, Ready());
+    store_->silentPrefix_ = platform::PlatformFormat().operatorPrefix_;
+    RunFor(kConfigDeadline + kMargin);
+    CPPUNIT_ASSERT_EQUAL(503, Call("GET", "/q/").code_);
+    CPPUNIT_ASSERT_EQUAL(503, Call("POST", kJobPath, kJob).code_);
+    CPPUNIT_ASSERT_EQUAL(503, Ready());
+  }
+
+  void JobIsNotAcceptedUnderAConfigurationThatHasChanged()
+  {
+    Start(Millis(100000));
+    store_->silentPrefix_ = platform::PlatformFormat().operatorPrefix_;
+    RunFor(kConfigDeadline + kMargin);
+    CPPUNIT_ASSERT_EQUAL(200, Call("POST", kJobPath, kJob).code_);
+    // The same request again, whose job is known.
+    CPPUNIT_ASSERT_EQUAL(200, Call("POST", kJobPath, kJob).code_);
+    store_->Change(platform::PlatformFormat().configKey_, kNewConfig);
+    constexpr const char* kOther = "/q/fedcba9876543210";
+    CPPUNIT_ASSERT_EQUAL(503, Call("POST", kOther, kJob).code_);
+    CPPUNIT_ASSERT(store_->items_.count(keys::Job("fedcba9876543210")) == 0);
+  }
+
+private:
+  static Endpoint FreePort()
+  {
+    int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    CPPUNIT_ASSERT(bind(listener, generic, size) == 0);
+    CPPUNIT_ASSERT(getsockname(listener, generic, &size) == 0);
+    close(listener);
+    return { "127.0.0.1", ntohs(address.sin_port) };
+  }
+
+  /// Starts the VM and waits until it leads the service of its queue.
+  void Start(Millis aContactTime)
+  {
+    NodeSettings settings;
+    settings.node_ = "vm1";
+    settings.front_ = front_ = FreePort();
+    settings.ready_ = ready_ = FreePort();
+    settings.peers_ = FreePort();
+    settings.contactTime_ = aContactTime;
+    settings.configDeadline_ = kConfigDeadline;
+    node_ = std::make_unique<JobsNode>(
+      JobsNode::Dependencies{ base_, clock_, wallClock_, *store_, targets_ },
+      settings,
+      kTimeouts,
+      platform::PlatformFormat());
+    CPPUNIT_ASSERT(node_->Listen().has_value());
+    while (Call("GET", "/q/").code_ != 200) {
+      RunFor(Millis(20));
+    }
+  }
+
+  HttpAnswer Call(const char* aMethod,
+                  const char* aPath,
+                  const char* aBody = "",
+                  std::optional<Endpoint> aServer = std::nullopt)
+  {
+    std::optional<CallResult> result;
+    client_->Call(aServer.value_or(front_),
+                  { aMethod, aPath, { { "Host", "h" } }, aBody },
+                  Millis(20000),
+                  Reuse::Any,
+                  [&](CallResult aResult) { result = std::move(aResult); });
+    while (!result) {
+      event_base_loop(base_, EVLOOP_ONCE);
+    }
+    CPPUNIT_ASSERT(result->end_ == CallEnd::Answered);
+    return result->answer_;
+  }
+  int Ready() { return Call("GET", "/ready", "", ready_).code_; }
+
+  void RunFor(Millis aTime)
+  {
+    Millis end = clock_.Now() + aTime;
+    while (clock_.Now() < end) {
+      timeval poll{ 0, 5000 };
+      event_base_loopexit(base_, &poll);
+      event_base_dispatch(base_);
+    }
+  }
+
+  SteadyClock clock_;
+  WallClock wallClock_;
+  event_base* base_ = nullptr;
+  NoTargets targets_;
+  std::unique_ptr<FakeStore> store_;
+  std::unique_ptr<HttpClient> client_;
+  std::unique_ptr<JobsNode> node_;
+  Endpoint front_;
+  Endpoint ready_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(JobsNodeTest);
+
+} // namespace coltsfootshed
--- a/unittests/Support/FakeStore.h
+++ b/unittests/Support/FakeStore.h
@@ -76,6 +76,9 @@
       if (now != condition.revision_) {
         result.end_ = CommitEnd::ConditionFailed;
       }
+      if (found != items_.end()) {
+        result.current_.push_back(found->second);
+      }
     }
     if (result.end_ == CommitEnd::Committed && !silent_) {
       result.revision_ = ++revision_;
