Read the configuration when a request needs a newer one than is known

Cause: the condition told that the configuration had changed, and the VM told the client to come back, although the store could have told it how.

So a queue that was just added is served, and one that does not exist is denied, as soon as the store answers, whatever has become of the watch. If the read fails, unknown queues and new jobs get 503 at once. The condition of the write is not needed any more and is taken back.

Test: JobsNodeTest::ConfigurationIsReadIfItsWatchIsLate (503 for all its requests before), JobIsNotAcceptedWithAnOldConfiguration in place of the test of the condition: it is stricter, as the job is refused whether or not the configuration has changed.

--- a/include/coltsfootshed/Node/JobApi.h
+++ b/include/coltsfootshed/Node/JobApi.h
@@ -22,15 +22,15 @@
          KeyValueStore& aStore,
          LeaderRpc& aLeaderRpc,
          const WireFormat& aFormat,
+         ConfigReader& aConfigReader,
          const ConfigFreshness& aFreshness,
          ReachesStore aReachesStore);
 
-  /// Sets the newest configuration that is known and the revision of its item
-  /// in the store. Requests get 503 until the first call.
-  void SetConfig(std::shared_ptr<const JobsConfig> aConfig, Revision aRevision)
+  /// Sets the newest configuration that is known. Requests get 503 until the
+  /// first call.
+  void SetConfig(std::shared_ptr<const JobsConfig> aConfig)
   {
     config_ = std::move(aConfig);
-    configRevision_ = aRevision;
   }
   /// Handles one client request and replies to it.
   void Serve(const std::shared_ptr<ServerExchange>& aExchange);
@@ -38,6 +38,8 @@
 private:
   using Exchange = std::shared_ptr<ServerExchange>;
 
+  void ServeWithKnownConfig(const Exchange& aExchange);
+
   void Submit(const Exchange& aExchange,
               const QueueConfig& aQueue,
               const std::string& aJob);
@@ -66,11 +68,11 @@
   KeyValueStore& store_;
   LeaderRpc& leaderRpc_;
   const WireFormat& format_;
+  ConfigReader& configReader_;
   const ConfigFreshness& freshness_;
   ReachesStore reachesStore_;
   Millis noWritesBefore_{ 0 }; ///< set when a write got no answer
   std::shared_ptr<const JobsConfig> config_;
-  Revision configRevision_ = 0;
 };
 
 } // namespace coltsfootshed
--- a/include/coltsfootshed/Node/JobsNode.h
+++ b/include/coltsfootshed/Node/JobsNode.h
@@ -69,6 +69,7 @@
   LeaderElection election_;
   LeaderRpc leaderRpc_;
   StoreOutageDetector outageDetector_;
+  ConfigReader configReader_;
   ConfigFreshness freshness_;
   JobApi jobApi_;
   std::map<std::int64_t, WaveConfig> waves_;
--- a/lib/Node/JobApi.cpp
+++ b/lib/Node/JobApi.cpp
@@ -1,7 +1,7 @@
 #include "coltsfootshed/Node/JobApi.h"
 
 #include "coltsfootshed/Observe/DecisionLog.h"
-#include "coltsfootshed/Store/FencedWrite.h"
+#include "coltsfootshed/Store/Keys.h"
 
 #include <nlohmann/json.hpp>
 
@@ -32,6 +32,7 @@
                KeyValueStore& aStore,
                LeaderRpc& aLeaderRpc,
                const WireFormat& aFormat,
+               ConfigReader& aConfigReader,
                const ConfigFreshness& aFreshness,
                ReachesStore aReachesStore)
   : clock_(aClock)
@@ -39,6 +40,7 @@
   , store_(aStore)
   , leaderRpc_(aLeaderRpc)
   , format_(aFormat)
+  , configReader_(aConfigReader)
   , freshness_(aFreshness)
   , reachesStore_(std::move(aReachesStore))
 {
@@ -55,11 +57,20 @@
 
 void JobApi::Serve(const Exchange& aExchange)
 {
-  const HttpRequest& request = aExchange->Request();
   if (config_ == nullptr) {
     aExchange->Reply(Unavailable());
     return;
   }
+  if (!freshness_.IsCurrent() && reachesStore_()) {
+    configReader_.Read([this, aExchange] { ServeWithKnownConfig(aExchange); });
+    return;
+  }
+  ServeWithKnownConfig(aExchange);
+}
+
+void JobApi::ServeWithKnownConfig(const Exchange& aExchange)
+{
+  const HttpRequest& request = aExchange->Request();
   Observe("config_age_ms", freshness_.Age());
   std::string_view path = PathOf(request.target_);
   auto host = FindHeader(request.headers_, "Host");
@@ -71,7 +82,8 @@
   // A path without a job's id may belong to a queue that this VM's
   // configuration lacks yet.
   bool isKnown = asksWaiting || (queue != nullptr && IsJobId(job));
-  if (isKnown ? !freshness_.MayServe() : !freshness_.IsCurrent()) {
+  bool needsCurrent = !isKnown || request.method_ == "POST";
+  if (needsCurrent ? !freshness_.IsCurrent() : !freshness_.MayShowJobs()) {
     RejectConfigOld(aExchange);
     return;
   }
@@ -157,10 +169,6 @@
   Transaction transaction;
   transaction.conditions_.push_back({ keys::Job(aJob), 0 });
   transaction.puts_.push_back({ keys::Job(aJob), EncodeRecord(record) });
-  if (!freshness_.IsCurrent()) {
-    // The store then decides whether the configuration is still in force.
-    transaction.conditions_.push_back({ format_.configKey_, configRevision_ });
-  }
   std::uint64_t version = config_->version_;
   Millis configAge = freshness_.Age();
   store_.Commit(
@@ -168,8 +176,7 @@
     [this, aExchange, record = std::move(record), version, configAge](
       const CommitResult& aResult) {
       bool accepted = aResult.end_ == CommitEnd::Committed;
-      bool duplicate = aResult.end_ == CommitEnd::ConditionFailed &&
-                       RevisionAfter(aResult, keys::Job(record.id_), 0) != 0;
+      bool duplicate = aResult.end_ == CommitEnd::ConditionFailed;
       bool unknown = aResult.end_ == CommitEnd::Unknown;
       LogDecision(accepted    ? "job-accepted"
                   : duplicate ? "job-known"
--- a/lib/Node/JobsNode.cpp
+++ b/lib/Node/JobsNode.cpp
@@ -65,7 +65,13 @@
                         leader->SetAuthority(aAuthority);
                       }
                     })
+  , configReader_(dependencies_.clock_,
+                  dependencies_.store_,
+                  format_.configKey_,
+                  [this](const StoreItem& aItem) { ApplyConfig(aItem); })
   , freshness_(operatorKeys_,
+               configReader_,
+               dependencies_.clock_,
                outageDetector_,
                settings_.configDeadline_,
                settings_.contactTime_)
@@ -74,6 +80,7 @@
             dependencies_.store_,
             leaderRpc_,
             format_,
+            configReader_,
             freshness_,
             [this] { return outageDetector_.ReachesStore(); })
   , front_(dependencies_.base_,
@@ -180,9 +187,6 @@
     return;
   }
   if (config_ != nullptr && config->version_ <= config_->version_) {
-    if (config->version_ == config_->version_) {
-      jobApi_.SetConfig(config_, aItem.revision_);
-    }
     return;
   }
   LogStateChange("config",
@@ -191,7 +195,7 @@
                    { "queues", std::to_string(config->queues_.size()) },
                    { "services", std::to_string(config->services_.size()) } });
   config_ = std::make_shared<const JobsConfig>(std::move(*config));
-  jobApi_.SetConfig(config_, aItem.revision_);
+  jobApi_.SetConfig(config_);
   if (poolManager_ != nullptr) {
     poolManager_->SetConfig(config_);
   }
@@ -310,7 +314,7 @@
 {
   return !stopping_ && config_ != nullptr && election_.IsMember() &&
          election_.TimeSinceRenewal() < kMaxReadyStoreAge &&
-         freshness_.MayServe();
+         freshness_.MayShowJobs();
 }
 
 void JobsNode::Stop()
--- a/unittests/Support/FakeStore.h
+++ b/unittests/Support/FakeStore.h
@@ -27,13 +27,14 @@
 
   void Get(std::string_view aKey, OnItem aOnItem) override
   {
+    ++reads_;
     auto found = items_.find(std::string(aKey));
     std::optional<StoreItem> item;
     if (found != items_.end()) {
       item = found->second;
     }
     Answer<Result<std::optional<StoreItem>>>(
-      std::move(aOnItem), item, NoAnswer());
+      std::move(aOnItem), item, NoAnswer(), aKey == silentKey_);
   }
   void Range(std::string_view aPrefix,
              std::string_view,
@@ -76,9 +77,6 @@
       if (now != condition.revision_) {
         result.end_ = CommitEnd::ConditionFailed;
       }
-      if (found != items_.end()) {
-        result.current_.push_back(found->second);
-      }
     }
     if (result.end_ == CommitEnd::Committed && !silent_) {
       result.revision_ = ++revision_;
@@ -141,6 +139,8 @@
   Revision revision_ = 1;
   bool silent_ = false;      ///< no call is answered
   std::string silentPrefix_; ///< if not empty: watches of it are not answered
+  std::string silentKey_;    ///< if not empty: reading it is not answered
+  int reads_ = 0;            ///< of single keys
   int watches_ = 0;
   int unansweredWatches_ = 0;
 
@@ -203,9 +203,12 @@
   }
 
   template<typename Outcome, typename OnEnd>
-  void Answer(OnEnd aOnEnd, Outcome aAnswer, Outcome aNoAnswer)
+  void Answer(OnEnd aOnEnd,
+              Outcome aAnswer,
+              Outcome aNoAnswer,
+              bool aIsSilent = false)
   {
-    bool silent = silent_;
+    bool silent = silent_ || aIsSilent;
     Later(silent ? kCallTimeout : Millis(1),
           [onEnd = std::move(aOnEnd),
            outcome = silent ? std::move(aNoAnswer) : std::move(aAnswer)] {
