Read the configuration head after a failed watch, not watch again

Callers saw: nothing yet. If the platform is silent until just after it was repeated, the VM learns of a change 24 s after it was accepted; 19 s are promised.

Change: the first call after a failure is a read, which fails after 2 s. The relay of the tests can silence new connections, too.

Test: e2e platform_silent_until_after_a_retry failed before (the change was not in force 19 s after its acceptance) and passes now; silent_platform_connection passes as before (27 s for both).

--- a/include/coltsfootshed/Fleet/FleetTask.h
+++ b/include/coltsfootshed/Fleet/FleetTask.h
@@ -83,6 +83,7 @@
   std::uint64_t headRevision_ = 0;
   std::uint64_t recordsRevision_ = 0;
   FleetState records_;
+  bool headReadFailed_ = false;     ///< the last one
   Millis lastPlatformAnswer_{ -1 }; ///< negative before the first answer
   bool stopping_ = false;
   std::unique_ptr<PlatformClient> platform_;
--- a/lib/Fleet/FleetTask.cpp
+++ b/lib/Fleet/FleetTask.cpp
@@ -92,7 +92,10 @@
     OnHeadRead(aValue);
   };
   bool awaitsFirstAnswer = lastPlatformAnswer_ < Millis(0);
-  if (!awaitsFirstAnswer && peers_.IsWatcher()) {
+  // A watch that gets no answer fails only after its whole wait, so the first
+  // call after a failure is a read.
+  bool mayWait = !awaitsFirstAnswer && !headReadFailed_;
+  if (mayWait && peers_.IsWatcher()) {
     platform_->Watch(kHeadKey, headRevision_, kWatchTimeout, onValue);
     return;
   }
@@ -101,6 +104,7 @@
 
 void FleetTask::ScheduleHeadRead(bool aFailed)
 {
+  headReadFailed_ = aFailed;
   if (aFailed) {
     headTimer_->Start(headBackoff_.Next());
     return;
--- a/test/e2e/failure_tests.py
+++ b/test/e2e/failure_tests.py
@@ -307,3 +307,25 @@
         assert result.returncode == 0, result
         wait_for(lambda: site.status(lone)["version"] == 2,
                  "the change is in force", limit=19)
+
+
+@test
+def platform_silent_until_after_a_retry(build, work):
+    """The platform is silent until just after the watch of the configuration
+    was repeated: a change is in force within 19 s."""
+    with Site(build, work, entries="b", targets="b") as site:
+        relay = Relay(site, site.platform)
+        lone = site.add_entry("lone", "a", seeds=[], platform=relay.address)
+        wait_for(lambda: site.status(lone)["version"] == 1, "first version")
+        relay.switch(silence=True, silence_new=True)
+        result = site.submit(site.entry, site.document("retry_ratio = 0.4\n"))
+        assert result.returncode == 0, result
+        submitted = time.monotonic()
+        log = site.work / "lone.log"
+        wait_for(lambda: "watch platform key" in log.read_text(),
+                 "the watch has failed")
+        time.sleep(0.3)  # longer than the first retry delay
+        relay.switch(silence_new=False)
+        wait_for(lambda: site.status(lone)["version"] == 2,
+                 "the change is in force",
+                 limit=submitted + 19 - time.monotonic())
--- a/test/standins/relay.cpp
+++ b/test/standins/relay.cpp
@@ -81,6 +81,7 @@
       return;
     }
     auto connection = connections_.emplace(connections_.end());
+    connection->discardsData_ = silencesNew_;
     connection->client_ =
       bufferevent_socket_new(base_, aSocket, BEV_OPT_CLOSE_ON_FREE);
     connection->server_ =
@@ -147,6 +148,7 @@
       json = Json::object();
     }
     refuseConnections_ = json.value("refuse", refuseConnections_);
+    silencesNew_ = json.value("silence_new", silencesNew_);
     if (json.value("cut", false)) {
       for (auto connection = connections_.begin();
            connection != connections_.end();) {
@@ -166,6 +168,7 @@
   Endpoint destination_;
   std::list<RelayedConnection> connections_;
   bool refuseConnections_ = false;
+  bool silencesNew_ = false;
   evconnlistener* listener_ = nullptr;
   HttpServer controlServer_;
 };
