JobApi: a submission during an outage names the outage as its reason

Callers saw 503 in both cases; operators saw `config-old` without a job's id for submissions during a longer outage, where `job-rejected`, "the store is unavailable" had been, and `jobs_rejected_store_away` counted less.

Change: Submit checks the store first, then the age of the configuration. ConfigReader gives its age itself. Comments of StoreTimeoutsFor and ConfigFreshness say what each figure is for.

--- a/include/coltsfootshed/Node/ConfigFreshness.h
+++ b/include/coltsfootshed/Node/ConfigFreshness.h
@@ -16,13 +16,11 @@
   /// must be in force, by VMs that have reached the store for aContactTime.
   ConfigFreshness(const PrefixFollower& aOperatorKeys,
                   const ConfigReader& aReader,
-                  const Clock& aClock,
                   const StoreOutageDetector& aOutageDetector,
                   Millis aDeadline,
                   Millis aContactTime)
     : operatorKeys_(aOperatorKeys)
     , reader_(aReader)
-    , clock_(aClock)
     , outageDetector_(aOutageDetector)
     , deadline_(aDeadline)
     , contactTime_(aContactTime)
@@ -30,12 +28,9 @@
   }
 
   /// Returns how long ago the known configuration was the newest for certain.
-  Millis Age() const
-  {
-    return std::min(operatorKeys_.Age(), clock_.Now() - reader_.ReadAsOf());
-  }
-  /// Returns true if each configuration that must be in force is known. Without
-  /// that, it is unknown whether a queue exists, and which service it has.
+  Millis Age() const { return std::min(operatorKeys_.Age(), reader_.Age()); }
+  /// Returns true if each configuration that must be in force is known, so that
+  /// a queue that is not in the known one can be denied, and jobs accepted.
   bool IsCurrent() const { return Age() <= deadline_; }
   /// Returns true if jobs of known queues may be shown and cancelled. During an
   /// outage of the store, an old configuration serves clients better than none.
@@ -47,7 +42,6 @@
 private:
   const PrefixFollower& operatorKeys_;
   const ConfigReader& reader_;
-  const Clock& clock_;
   const StoreOutageDetector& outageDetector_;
   Millis deadline_;
   Millis contactTime_;
--- a/include/coltsfootshed/Node/ConfigReader.h
+++ b/include/coltsfootshed/Node/ConfigReader.h
@@ -23,8 +23,8 @@
   /// call that is running. aOnEnd runs once, also if the call fails, and at
   /// once if a call has failed a short time ago.
   void Read(std::function<void()> aOnEnd);
-  /// Returns when the last answered call was sent.
-  Millis ReadAsOf() const { return readAsOf_; }
+  /// Returns the time since the last answered call was sent.
+  Millis Age() const { return clock_.Now() - readAsOf_; }
 
 private:
   void OnItem(Millis aSentAt, const Result<std::optional<StoreItem>>& aItem);
--- a/include/coltsfootshed/Node/JobApi.h
+++ b/include/coltsfootshed/Node/JobApi.h
@@ -38,6 +38,7 @@
 private:
   using Exchange = std::shared_ptr<ServerExchange>;
 
+  /// Handles a request with the configuration that is known, which may be old.
   void ServeWithKnownConfig(const Exchange& aExchange);
 
   void Submit(const Exchange& aExchange,
--- a/include/coltsfootshed/Node/StoreTimeouts.h
+++ b/include/coltsfootshed/Node/StoreTimeouts.h
@@ -15,12 +15,11 @@
   Millis watch_; ///< how long a watch may wait for events, besides call_
 };
 
-/// Returns the time-outs with which a VM knows what the store says soon enough:
-/// - After a call was lost, its failure (watch_ + call_), the retry delay, a
-/// new
-///   connection and the answer take less than aContactTime.
-/// - Else the known content is at most watch_ and an answer's delay old, less
-///   than aMaxAge.
+/// Returns the time-outs with which a VM's knowledge of the store is young
+/// enough. If a watch is lost, its wait and time-out, the retry delay, a new
+/// connection and an answer take less than aContactTime. Otherwise the
+/// knowledge is at most a wait and an answer's delay old, which is less than
+/// aMaxAge.
 inline StoreTimeouts StoreTimeoutsFor(Millis aContactTime, Millis aMaxAge)
 {
   /// Long enough for an answer while the store is as slow as it usually gets.
--- a/include/coltsfootshed/Store/PrefixFollower.h
+++ b/include/coltsfootshed/Store/PrefixFollower.h
@@ -31,7 +31,7 @@
   struct Options
   {
     std::string prefix_;
-    Millis longestWatch_; ///< how long one watch may wait for events
+    Millis longestWatch_{ 1000 }; ///< how long one watch may wait for events
     Millis pause_{ 0 }; ///< between watches, so that one returns several events
   };
 
--- a/lib/Node/JobApi.cpp
+++ b/lib/Node/JobApi.cpp
@@ -82,8 +82,7 @@
   // A path without a job's id may belong to a queue that this VM's
   // configuration lacks yet.
   bool isKnown = asksWaiting || (queue != nullptr && IsJobId(job));
-  bool needsCurrent = !isKnown || request.method_ == "POST";
-  if (needsCurrent ? !freshness_.IsCurrent() : !freshness_.MayShowJobs()) {
+  if (isKnown ? !freshness_.MayShowJobs() : !freshness_.IsCurrent()) {
     RejectConfigOld(aExchange);
     return;
   }
@@ -155,6 +154,10 @@
     aExchange->Reply(Unavailable());
     return;
   }
+  if (!freshness_.IsCurrent()) {
+    RejectConfigOld(aExchange);
+    return;
+  }
   JobRecord record;
   record.id_ = aJob;
   record.queue_ = aQueue.name_;
--- a/lib/Node/JobsNode.cpp
+++ b/lib/Node/JobsNode.cpp
@@ -71,7 +71,6 @@
                   [this](const StoreItem& aItem) { ApplyConfig(aItem); })
   , freshness_(operatorKeys_,
                configReader_,
-               dependencies_.clock_,
                outageDetector_,
                settings_.configDeadline_,
                settings_.contactTime_)
--- a/unittests/Node/ConfigReaderTest.cpp
+++ b/unittests/Node/ConfigReaderTest.cpp
@@ -41,7 +41,7 @@
     CPPUNIT_ASSERT_EQUAL(2, ended_);
     CPPUNIT_ASSERT_EQUAL(1, applied_);
     CPPUNIT_ASSERT_EQUAL(1, store_->reads_);
-    CPPUNIT_ASSERT(reader_->ReadAsOf() == clock_.Now());
+    CPPUNIT_ASSERT(reader_->Age() == Millis(0));
   }
 
   void FailedCallIsNotRepeatedAtOnce()
@@ -56,7 +56,7 @@
     clock_.Advance(Millis(1000));
     Read();
     CPPUNIT_ASSERT_EQUAL(2, store_->reads_);
-    CPPUNIT_ASSERT(reader_->ReadAsOf() == Millis(0));
+    CPPUNIT_ASSERT(reader_->Age() == clock_.Now());
   }
 
 private:
