--- a/unittests/Node/JobsNodeTest.cpp
+++ b/unittests/Node/JobsNodeTest.cpp
@@ -6,6 +6,7 @@
 #include "Support/FakeStore.h"
 #include "coltsfootshed/Http/Client.h"
 
+#include <array>
 #include <cppunit/extensions/HelperMacros.h>
 #include <event2/event.h>
 #include <netinet/in.h>
@@ -139,18 +140,26 @@
   }
 
 private:
-  static Endpoint FreePort()
-  {
-    int listener = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    auto* generic = reinterpret_cast<sockaddr*>(&address);
-    CPPUNIT_ASSERT(bind(listener, generic, size) == 0);
-    CPPUNIT_ASSERT(getsockname(listener, generic, &size) == 0);
-    close(listener);
-    return { "127.0.0.1", ntohs(address.sin_port) };
+  /// Returns loopback addresses with different free ports.
+  static std::array<Endpoint, 3> FreeAddresses()
+  {
+    std::array<Endpoint, 3> addresses;
+    std::array<int, 3> sockets{};
+    for (std::size_t i = 0; i < sockets.size(); ++i) {
+      sockaddr_in address{};
+      address.sin_family = AF_INET;
+      address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+      socklen_t size = sizeof(address);
+      auto* generic = reinterpret_cast<sockaddr*>(&address);
+      sockets[i] = socket(AF_INET, SOCK_STREAM, 0);
+      CPPUNIT_ASSERT(bind(sockets[i], generic, size) == 0);
+      CPPUNIT_ASSERT(getsockname(sockets[i], generic, &size) == 0);
+      addresses[i] = { "127.0.0.1", ntohs(address.sin_port) };
+    }
+    for (int each : sockets) {
+      close(each);
+    }
+    return addresses;
   }
 
   /// Starts the VM and waits until it leads the service of its queue.
@@ -158,9 +167,10 @@
   {
     NodeSettings settings;
     settings.node_ = "vm1";
-    settings.front_ = front_ = FreePort();
-    settings.ready_ = ready_ = FreePort();
-    settings.peers_ = FreePort();
+    std::tie(settings.front_, settings.ready_, settings.peers_) =
+      std::tuple_cat(FreeAddresses());
+    front_ = settings.front_;
+    ready_ = settings.ready_;
     settings.contactTime_ = aContactTime;
     settings.configDeadline_ = kConfigDeadline;
     node_ = std::make_unique<JobsNode>(
