--- a/unittests/Node/JobsNodeTest.cpp
+++ b/unittests/Node/JobsNodeTest.cpp
@@ -66,6 +66,12 @@
 
   static constexpr Millis kConfigDeadline{ 2000 };
   static constexpr Millis kMargin{ 200 };
+  /// Contact times with which a VM counts as in touch with the store from the
+  /// first moment, and never.
+  static constexpr Millis kNoContactTime{ 0 };
+  static constexpr Millis kEndlessContactTime{ 100000 };
+  /// Far more than a busy machine needs.
+  static constexpr Millis kLimit{ 20000 };
   static constexpr StoreTimeouts kTimeouts{ Millis(1200), Millis(100) };
 
 public:
@@ -88,7 +94,7 @@
   /// that could not know.
   void UnknownQueueIsNotDeniedWithAnOldConfiguration()
   {
-    Start(Millis(100000));
+    Start(kEndlessContactTime);
     CPPUNIT_ASSERT_EQUAL(404, Call("GET", "/n/").code_);
     MakeConfigOld();
     store_->silentKey_ = format_.configKey_;
@@ -102,7 +108,7 @@
   /// The watch is lost, but the store answers other calls.
   void ConfigurationIsReadIfItsWatchIsLate()
   {
-    Start(Millis(0));
+    Start(kNoContactTime);
     MakeConfigOld();
     CPPUNIT_ASSERT_EQUAL(200, Call("GET", "/n/").code_);
     CPPUNIT_ASSERT_EQUAL(404, Call("GET", "/q/").code_);
@@ -112,7 +118,7 @@
 
   void KnownQueueIsServedWhileTheStoreIsSilent()
   {
-    Start(Millis(0));
+    Start(kNoContactTime);
     store_->silent_ = true;
     RunFor(kConfigDeadline + kMargin);
     CPPUNIT_ASSERT_EQUAL(200, Call("GET", "/q/").code_);
@@ -121,7 +127,7 @@
 
   void KnownQueueIsRefusedIfOnlyItsConfigurationIsOld()
   {
-    Start(Millis(0));
+    Start(kNoContactTime);
     CPPUNIT_ASSERT_EQUAL(200, Ready());
     MakeConfigOld();
     store_->silentKey_ = format_.configKey_;
@@ -132,7 +138,7 @@
 
   void JobIsNotAcceptedWithAnOldConfiguration()
   {
-    Start(Millis(100000));
+    Start(kEndlessContactTime);
     MakeConfigOld();
     store_->silentKey_ = format_.configKey_;
     CPPUNIT_ASSERT_EQUAL(503, Call("POST", kJobPath, kJob).code_);
@@ -179,7 +185,9 @@
       kTimeouts,
       format_);
     CPPUNIT_ASSERT(node_->Listen().has_value());
+    Millis end = clock_.Now() + kLimit;
     while (Call("GET", "/q/").code_ != 200) {
+      CPPUNIT_ASSERT(clock_.Now() < end);
       RunFor(Millis(20));
     }
   }
@@ -192,7 +200,7 @@
     std::optional<CallResult> result;
     client_->Call(aServer.value_or(front_),
                   { aMethod, aPath, { { "Host", "h" } }, aBody },
-                  Millis(20000),
+                  kLimit,
                   Reuse::Any,
                   [&](CallResult aResult) { result = std::move(aResult); });
     while (!result) {
--- a/unittests/Store/PrefixFollowerTest.cpp
+++ b/unittests/Store/PrefixFollowerTest.cpp
@@ -66,7 +66,10 @@
   template<typename Condition>
   void RunUntil(const Condition& aCondition)
   {
+    constexpr Millis kLimit{ 20000 }; ///< far more than a busy machine needs
+    Millis end = clock_.Now() + kLimit;
     while (!aCondition()) {
+      CPPUNIT_ASSERT(clock_.Now() < end);
       timeval poll{ 0, 5000 };
       event_base_loopexit(base_, &poll);
       event_base_dispatch(base_);
