--- a/unittests/Node/JobsNodeTest.cpp
+++ b/unittests/Node/JobsNodeTest.cpp
@@ -5,6 +5,7 @@
 #include "Documents.h"
 #include "Support/FakeStore.h"
 #include "coltsfootshed/Http/Client.h"
+#include "coltsfootshed/Store/Keys.h"
 
 #include <array>
 #include <cppunit/extensions/HelperMacros.h>
@@ -139,9 +140,16 @@
   void JobIsNotAcceptedWithAnOldConfiguration()
   {
     Start(kEndlessContactTime);
+    LoseWatch();
+    // The configuration has not changed, and can be read.
+    CPPUNIT_ASSERT_EQUAL(200, Call("POST", kJobPath, kJob).code_);
+    // The same request again, whose job is known.
+    CPPUNIT_ASSERT_EQUAL(200, Call("POST", kJobPath, kJob).code_);
     MakeConfigOld();
     store_->silentKey_ = format_.configKey_;
-    CPPUNIT_ASSERT_EQUAL(503, Call("POST", kJobPath, kJob).code_);
+    constexpr const char* kOther = "/q/fedcba9876543210";
+    CPPUNIT_ASSERT_EQUAL(503, Call("POST", kOther, kJob).code_);
+    CPPUNIT_ASSERT(store_->items_.count(keys::Job("fedcba9876543210")) == 0);
     CPPUNIT_ASSERT_EQUAL(200, Call("GET", "/q/").code_);
   }
 
@@ -221,13 +229,20 @@
     }
   }
 
-  /// Changes the configuration while watches of it get no answer, and waits
-  /// until the change must be in force.
+  /// Waits until the known configuration is too old, while its watches get no
+  /// answer.
+  void LoseWatch()
+  {
+    store_->silentPrefix_ = format_.operatorPrefix_;
+    RunFor(kConfigDeadline + kMargin);
+  }
+  /// Changes the configuration while its watches get no answer, and waits until
+  /// the change must be in force.
   void MakeConfigOld()
   {
     store_->silentPrefix_ = format_.operatorPrefix_;
     store_->Change(format_.configKey_, kNewConfig);
-    RunFor(kConfigDeadline + kMargin);
+    LoseWatch();
   }
 
   const WireFormat format_ = platform::PlatformFormat();
