Read every document of others within limits, without an exception

Other operators reported machines that end again and again, or stop following the list of targets, after another writer left an odd entry in it. Here it could happen, as shown by tests that fail on: a client's body that is no UTF-8 ended the process (the error text was put into JSON as it was), as did a member entry with a wrong type, a refusal of a target or of the VM service whose Reason is no string, and a document nested deeply inside a field that is copied (stack). One unreadable VM hid the list of all VMs. A registry entry with a Cpu of 1e308 was used as 2^63-1, one of as -1. A commit whose answer could not be read counted as committed at revision 0.

Cause: each reader called the JSON library on its own and caught what its author thought of; conversions of numbers were unchecked.

Change: JsonReader checks size and nesting before a tree is built, turns every exception into an Error, counts it, and reads whole numbers within stated ranges. All documents of the registry, operators, clients, targets, VM service, store, other entry VMs and our own keys go through it. A bad row costs that row alone. An odd registry entry is logged once per change. Log lines are valid JSON and bounded whatever they quote. Progress that cannot be read is not half loaded, and its job starts nothing, as its tasks may be done; after an unreadable roster, old jobs wait for the longest lease.

--- a/include/coltsfootshed/Jobs/Job.h
+++ b/include/coltsfootshed/Jobs/Job.h
@@ -9,6 +9,7 @@
 #include "coltsfootshed/Store/KeyValueStore.h"
 
 #include <map>
+#include <nlohmann/json_fwd.hpp>
 #include <set>
 #include <string>
 #include <string_view>
@@ -116,17 +117,29 @@
 
   /// Returns the stored form of the progress.
   std::string EncodeProgress() const;
-  /// Loads stored progress. Returns false if it cannot be read; part of it may
-  /// then have been loaded.
+  /// Loads stored progress. Returns false, and changes nothing, if it cannot be
+  /// read.
   bool LoadProgress(std::string_view aText);
 
   // Persistence state, kept by the scheduler.
-  ChangeNumber lastChange_ = 0;      ///< latest change
-  ChangeNumber lastSavedChange_ = 0; ///< latest change that is durable
-  Revision progressRevision_ = 0;    ///< store revision of the saved progress
-  Revision created_ = 0;             ///< store revision that created the job
+  ChangeNumber lastChange_ = 0;       ///< latest change
+  ChangeNumber lastSavedChange_ = 0;  ///< latest change that is durable
+  Revision progressRevision_ = 0;     ///< store revision of the saved progress
+  Revision created_ = 0;              ///< store revision that created the job
+  bool isProgressUnreadable_ = false; ///< its tasks may be done
 
 private:
+  struct SavedProgress
+  {
+    JobState state_ = JobState::Queued;
+    bool ended_ = false;
+    int createdCount_ = 0;
+    int finishedCount_ = 0;
+    std::map<int, Occurrence> occurrences_;
+  };
+
+  /// Throws std::exception if the document is not the progress of this job.
+  SavedProgress ReadProgress(const nlohmann::json& aJson) const;
   Occurrence NewOccurrence(int aNumber) const;
   void CreateNext();
   void CheckComplete();
--- a/include/coltsfootshed/Node/LeaderElection.h
+++ b/include/coltsfootshed/Node/LeaderElection.h
@@ -79,6 +79,7 @@
   void OnSnapshot(std::vector<StoreItem> aItems) override;
   void OnEvent(const StoreEvent& aEvent) override;
   void Apply(const StoreItem& aItem);
+  void ApplyMember(const std::string& aNode, const std::string& aValue);
   void Remove(std::string_view aKey);
   void OnLeaseLost();
   void EndLeaseOfEarlierProcess(LeaseId aLease);
--- a/include/coltsfootshed/Node/TargetRegistry.h
+++ b/include/coltsfootshed/Node/TargetRegistry.h
@@ -46,6 +46,8 @@
   Listener listener_;
   std::map<std::string, TargetInfo> targets_;
   std::map<std::string, Millis> missingSince_; ///< by id
+  /// Entries that cannot be read: the revision that was logged, by id.
+  std::map<std::string, Revision> unusable_;
   Timer sweepTimer_;
   PrefixFollower follower_;
 };
--- a/include/coltsfootshed/Scheduling/Scheduler.h
+++ b/include/coltsfootshed/Scheduling/Scheduler.h
@@ -146,7 +146,8 @@
   /// of other services and known ones.
   void AddJob(JobRecord aRecord, Revision aCreated);
   /// Loads the saved progress of a job, with the revision at which it was
-  /// saved. Logs progress that cannot be read; ignores jobs that are not known.
+  /// saved. A job whose progress cannot be read starts nothing, as its tasks
+  /// may be done. Ignores jobs that are not known.
   void LoadProgress(std::string_view aJob,
                     std::string_view aProgress,
                     Revision aRevision);
@@ -159,6 +160,9 @@
   /// Adds the targets of the roster that an earlier scheduler saved. Only their
   /// ids, services and addresses are needed.
   void LoadRoster(std::span<const TargetInfo> aTargets);
+  /// Notes that an earlier scheduler's roster cannot be read: runs may exist on
+  /// targets that are not known.
+  void SetRosterUnknown() { rosterUnknown_ = true; }
   /// Adds or updates a target that the registry lists. If it now belongs to
   /// another service, unregisters it.
   void RegisterTarget(const TargetInfo& aTarget);
@@ -353,6 +357,7 @@
   Millis saveRetryAt_{ 0 };
   /// Highest fence of a pool manager that called SetVacating().
   Fence poolManagerFence_ = 0;
+  bool rosterUnknown_ = false; ///< see SetRosterUnknown()
   bool rosterInFlight_ = false;
   bool rosterStale_ = false; ///< has to be saved again
   Millis rosterCheckAt_{ 0 };
--- a/lib/Jobs/Job.cpp
+++ b/lib/Jobs/Job.cpp
@@ -1,14 +1,13 @@
 #include "coltsfootshed/Jobs/Job.h"
 
+#include "coltsfootshed/Support/JsonReader.h"
+
 #include <algorithm>
 #include <array>
 #include <cassert>
-#include <nlohmann/json.hpp>
 
 namespace coltsfootshed {
 
-using Json = nlohmann::json;
-
 static constexpr std::array<std::string_view, 5> kStateNames = { "queued",
                                                                  "running",
                                                                  "complete",
@@ -232,6 +231,14 @@
   return progress.dump();
 }
 
+/// Returns the task that a row of saved progress is about.
+static TaskProgress& TaskOf(const Json& aRow, StepProgress& aStep)
+{
+  auto tasks = static_cast<std::int64_t>(aStep.tasks_.size());
+  auto index = IntegerOf(aRow.at(0), { 0, tasks - 1 });
+  return aStep.tasks_.at(static_cast<std::size_t>(index));
+}
+
 static void TasksFromJson(const Json& aJson, StepProgress& aStep)
 {
   std::string done = aJson.at("done");
@@ -240,37 +247,63 @@
     aStep.done_ += done[i] == '1' ? 1 : 0;
   }
   for (const Json& row : aJson.at("failed")) {
-    row.at(1).get_to(aStep.tasks_.at(row.at(0)).failedRuns_);
+    for (const Json& run : row.at(1)) {
+      TaskOf(row, aStep)
+        .failedRuns_.insert(static_cast<RunNumber>(IntegerOf(run, kAnyCount)));
+    }
   }
   for (const Json& row : aJson.at("saved")) {
-    row.at(1).get_to(aStep.tasks_.at(row.at(0)).checkpoint_);
+    row.at(1).get_to(TaskOf(row, aStep).checkpoint_);
   }
 }
 
-bool Job::LoadProgress(std::string_view aText)
+Job::SavedProgress Job::ReadProgress(const Json& aJson) const
 {
-  try {
-    Json json = Json::parse(aText);
-    auto state = ParseJobState(json.at("state").get<std::string>());
-    if (!state) {
-      return false;
-    }
-    createdCount_ = json.at("created");
-    finishedCount_ = json.at("finished");
-    occurrences_.clear();
-    for (const Json& row : json.at("occurrences")) {
-      Occurrence occurrence = NewOccurrence(row.at(0));
-      for (std::size_t i = 0; i < occurrence.steps_.size(); ++i) {
-        TasksFromJson(row.at(1).at(i), occurrence.steps_[i]);
-      }
-      occurrences_.emplace(occurrence.number_, std::move(occurrence));
+  SavedProgress saved;
+  auto state = ParseJobState(aJson.at("state").get<std::string>());
+  if (!state) {
+    throw std::invalid_argument("no known state");
+  }
+  saved.state_ = *state;
+  saved.ended_ = *state != JobState::Queued && *state != JobState::Running;
+  int occurrences = IsPeriodic() ? record_.spec_.occurrences_ : 1;
+  saved.createdCount_ =
+    static_cast<int>(IntegerOf(aJson.at("created"), { 0, occurrences }));
+  saved.finishedCount_ =
+    static_cast<int>(IntegerOf(aJson.at("finished"), { 0, occurrences }));
+  for (const Json& row : aJson.at("occurrences")) {
+    Occurrence occurrence = NewOccurrence(
+      static_cast<int>(IntegerOf(row.at(0), { 0, saved.createdCount_ - 1 })));
+    for (std::size_t i = 0; i < occurrence.steps_.size(); ++i) {
+      TasksFromJson(row.at(1).at(i), occurrence.steps_[i]);
     }
-    state_ = *state;
-    ended_ = state_ != JobState::Queued && state_ != JobState::Running;
-    return true;
-  } catch (const std::exception&) {
+    saved.occurrences_.emplace(occurrence.number_, std::move(occurrence));
+  }
+  bool lacksItsOccurrence =
+    !saved.ended_ && !IsPeriodic() && saved.occurrences_.size() != 1;
+  if (lacksItsOccurrence) {
+    throw std::invalid_argument("a job that has not ended has no occurrence");
+  }
+  return saved;
+}
+
+bool Job::LoadProgress(std::string_view aText)
+{
+  auto saved = ReadJson<SavedProgress>(
+    aText,
+    kOwnDocument,
+    "read saved progress",
+    record_.id_,
+    [this](const Json& aJson) { return ReadProgress(aJson); });
+  if (!saved) {
     return false;
   }
+  state_ = saved->state_;
+  ended_ = saved->ended_;
+  createdCount_ = saved->createdCount_;
+  finishedCount_ = saved->finishedCount_;
+  occurrences_ = std::move(saved->occurrences_);
+  return true;
 }
 
 } // namespace coltsfootshed
--- a/lib/Jobs/JobSpec.cpp
+++ b/lib/Jobs/JobSpec.cpp
@@ -1,12 +1,18 @@
 #include "coltsfootshed/Jobs/JobSpec.h"
 
-#include <nlohmann/json.hpp>
+#include "coltsfootshed/Support/JsonReader.h"
 
-namespace coltsfootshed {
+#include <algorithm>
+#include <limits>
 
-using Json = nlohmann::json;
+namespace coltsfootshed {
 
 static constexpr std::size_t kIdLength = 16;
+/// Most tasks of one step, so that a record cannot exhaust the memory.
+static constexpr int kMaxTasks = 100000;
+/// Times of the Unix epoch and durations; a sum of some of them fits into 64
+/// bits.
+static constexpr IntegerRange kAnyTime{ -kMaxExactInteger, kMaxExactInteger };
 
 Resources& Resources::operator+=(const Resources& aOther)
 {
@@ -64,14 +70,24 @@
 {
   std::size_t at = 0;
   auto next = [&](auto& aField) { aJson.at(at++).get_to(aField); };
+  auto nextInteger = [&](auto& aField) {
+    using Integer = std::remove_reference_t<decltype(aField)>;
+    IntegerRange range{
+      std::max<std::int64_t>(std::numeric_limits<Integer>::min(),
+                             -kMaxExactInteger),
+      std::min<std::int64_t>(std::numeric_limits<Integer>::max(),
+                             kMaxExactInteger)
+    };
+    aField = static_cast<Integer>(IntegerOf(aJson.at(at++), range));
+  };
   auto nextMillis = [&](Millis& aField) {
-    aField = Millis(aJson.at(at++).get<std::int64_t>());
+    aField = Millis(IntegerOf(aJson.at(at++), kAnyTime));
   };
   StepSpec step;
-  next(step.tasks_);
-  next(step.taskResources_.cpu_);
-  next(step.taskResources_.memory_);
-  next(step.taskResources_.gpu_);
+  nextInteger(step.tasks_);
+  nextInteger(step.taskResources_.cpu_);
+  nextInteger(step.taskResources_.memory_);
+  nextInteger(step.taskResources_.gpu_);
   nextMillis(step.estimate_);
   next(step.after_);
   next(step.gang_);
@@ -83,12 +99,26 @@
   next(step.label_);
   next(step.dataRack_);
   next(step.image_);
-  next(step.maxPerTarget_);
+  nextInteger(step.maxPerTarget_);
   nextMillis(step.latencyObjective_);
-  next(step.maxUnavailableTasks_);
+  nextInteger(step.maxUnavailableTasks_);
   return step;
 }
 
+/// Checks what the scheduler relies on in the last of a record's steps.
+static void CheckStep(const std::vector<StepSpec>& aSteps)
+{
+  const StepSpec& last = aSteps.back();
+  auto isEarlier = [&](int aStep) {
+    return aStep >= 0 && static_cast<std::size_t>(aStep) + 1 < aSteps.size();
+  };
+  bool dependsOnEarlier =
+    std::all_of(last.after_.begin(), last.after_.end(), isEarlier);
+  if (last.tasks_ < 1 || last.tasks_ > kMaxTasks || !dependsOnEarlier) {
+    throw std::invalid_argument("tasks or order of steps out of range");
+  }
+}
+
 std::string EncodeRecord(const JobRecord& aRecord)
 {
   Json steps = Json::array();
@@ -114,29 +144,37 @@
 
 Result<JobRecord> DecodeRecord(std::string_view aText)
 {
-  try {
-    Json json = Json::parse(aText);
+  auto read = [](const Json& aJson) {
     JobRecord record;
-    record.id_ = json.at("id");
-    record.queue_ = json.at("queue");
-    record.service_ = json.at("service");
-    record.spec_.payload_ = json.at("payload");
-    for (const Json& step : json.at("steps")) {
+    record.id_ = aJson.at("id");
+    record.queue_ = aJson.at("queue");
+    record.service_ = aJson.at("service");
+    record.spec_.payload_ = aJson.at("payload");
+    for (const Json& step : aJson.at("steps")) {
       record.spec_.steps_.push_back(StepFromJson(step));
+      CheckStep(record.spec_.steps_);
+    }
+    auto integer = [&](const char* aName, IntegerRange aRange) {
+      return IntegerOf(aJson.at(aName), aRange);
+    };
+    record.spec_.occurrences_ =
+      static_cast<int>(integer("occurrences", kSmallCount));
+    record.spec_.firstDue_ = Millis(integer("first_due", kAnyTime));
+    record.spec_.interval_ = Millis(integer("interval", kAnyTime));
+    record.priority_ = static_cast<int>(
+      integer("priority", { -kSmallCount.max_, kSmallCount.max_ }));
+    record.maxAttempts_ = static_cast<int>(integer("attempts", kSmallCount));
+    record.stretch_ = aJson.at("stretch");
+    record.objectiveBase_ = Millis(integer("aim", kAnyTime));
+    record.acceptedAt_ = Millis(integer("accepted", kAnyTime));
+    record.needsTickets_ = aJson.at("advised");
+    if (!IsJobId(record.id_) || record.spec_.steps_.empty()) {
+      throw std::invalid_argument("no valid id or steps");
     }
-    record.spec_.occurrences_ = json.at("occurrences");
-    record.spec_.firstDue_ = Millis(json.at("first_due"));
-    record.spec_.interval_ = Millis(json.at("interval"));
-    record.priority_ = json.at("priority");
-    record.maxAttempts_ = json.at("attempts");
-    record.stretch_ = json.at("stretch");
-    record.objectiveBase_ = Millis(json.at("aim"));
-    record.acceptedAt_ = Millis(json.at("accepted"));
-    record.needsTickets_ = json.at("advised");
     return record;
-  } catch (const Json::exception& failure) {
-    return Fail("decode job record", "", failure.what());
-  }
+  };
+  return ReadJson<JobRecord>(
+    aText, kOwnDocument, "decode a job record", "", read);
 }
 
 } // namespace coltsfootshed
--- a/lib/Node/JobApi.cpp
+++ b/lib/Node/JobApi.cpp
@@ -2,8 +2,7 @@
 
 #include "coltsfootshed/Observe/DecisionLog.h"
 #include "coltsfootshed/Store/Keys.h"
-
-#include <nlohmann/json.hpp>
+#include "coltsfootshed/Support/JsonReader.h"
 
 namespace coltsfootshed {
 
@@ -141,8 +140,10 @@
   if (!spec) {
     LogDecision("job-malformed",
                 { { "job", aJob }, { "error", spec.error().Text() } });
+    // The error may quote bytes of the body that are no UTF-8.
+    Json body = { { "error", spec.error().Text() } };
     aExchange->Reply(JsonAnswer(
-      400, nlohmann::json{ { "error", spec.error().Text() } }.dump()));
+      400, body.dump(-1, ' ', false, Json::error_handler_t::replace)));
     return;
   }
   if (!MayWrite()) {
@@ -280,9 +281,13 @@
   if (!aProgress) {
     return "queued";
   }
-  auto json = nlohmann::json::parse(aProgress->value_, nullptr, false);
-  auto state = ParseJobState(
-    json.is_object() ? json.value("state", std::string()) : std::string());
+  auto name = ReadJson<std::string>(
+    aProgress->value_,
+    kOwnDocument,
+    "read saved progress",
+    aProgress->key_,
+    [](const Json& aJson) { return aJson.at("state").get<std::string>(); });
+  auto state = ParseJobState(name.value_or(""));
   return state ? NameOf(*state) : "running";
 }
 
--- a/lib/Node/LeaderElection.cpp
+++ b/lib/Node/LeaderElection.cpp
@@ -2,15 +2,13 @@
 
 #include "coltsfootshed/Observe/DecisionLog.h"
 #include "coltsfootshed/Store/Keys.h"
+#include "coltsfootshed/Support/JsonReader.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <xxhash.h>
 
 namespace coltsfootshed {
 
-using Json = nlohmann::json;
-
 /// Lease of the membership. A dead leader is replaced only after it has ended.
 static constexpr Millis kLease{ 2000 };
 /// Allowance for clock differences and scheduling delays.
@@ -264,11 +262,7 @@
 {
   std::string node(keys::SuffixAfter(aItem.key_, keys::kNodePrefix));
   if (!node.empty()) {
-    Json json = Json::parse(aItem.value_, nullptr, false);
-    auto peers = ParseEndpoint(json.is_object() ? json.value("peers", "") : "");
-    if (peers) {
-      members_[node] = { *peers, json.value("share", 1.0) };
-    }
+    ApplyMember(node, aItem.value_);
     return;
   }
   std::string duty(keys::SuffixAfter(aItem.key_, keys::kLeaderPrefix));
@@ -282,6 +276,29 @@
   }
 }
 
+/// Adds or updates a member. One whose entry cannot be read is not a member.
+void LeaderElection::ApplyMember(const std::string& aNode,
+                                 const std::string& aValue)
+{
+  auto read = [](const Json& aJson) {
+    auto peers = ParseEndpoint(aJson.at("peers").get<std::string>());
+    auto share = Field<double>(aJson, "share", 1.0);
+    if (!peers || !(share > 0)) {
+      throw std::invalid_argument("no valid address or share");
+    }
+    return Member{ *peers, share };
+  };
+  auto member =
+    ReadJson<Member>(aValue, kOwnDocument, "read a member", aNode, read);
+  if (!member) {
+    LogStateChange("member-unreadable",
+                   { { "vm", aNode }, { "error", member.error().Text() } });
+    members_.erase(aNode);
+    return;
+  }
+  members_[aNode] = std::move(*member);
+}
+
 void LeaderElection::Remove(std::string_view aKey)
 {
   members_.erase(std::string(keys::SuffixAfter(aKey, keys::kNodePrefix)));
--- a/lib/Node/LeaderRpc.cpp
+++ b/lib/Node/LeaderRpc.cpp
@@ -1,9 +1,9 @@
 #include "coltsfootshed/Node/LeaderRpc.h"
 
 #include "coltsfootshed/Observe/DecisionLog.h"
+#include "coltsfootshed/Support/JsonReader.h"
 
 #include <charconv>
-#include <nlohmann/json.hpp>
 
 namespace coltsfootshed {
 
@@ -12,6 +12,7 @@
 static constexpr Millis kCallTimeout{ 600 };
 static constexpr std::size_t kIdleConnections = 2;
 static constexpr int kOk = 200;
+static constexpr int kMalformed = 400;
 static constexpr int kNotFound = 404;
 /// The called VM does not lead the service.
 static constexpr int kNotLeader = 409;
@@ -178,14 +179,16 @@
 
 static std::string EncodeIds(const std::vector<std::string>& aIds)
 {
-  return nlohmann::json(aIds).dump();
+  return Json(aIds).dump();
 }
 
-static std::vector<std::string> DecodeIds(const std::string& aText)
+static Result<std::vector<std::string>> DecodeIds(const std::string& aText)
 {
-  auto json = nlohmann::json::parse(aText, nullptr, false);
-  return json.is_array() ? json.get<std::vector<std::string>>()
-                         : std::vector<std::string>();
+  using Ids = std::vector<std::string>;
+  return ReadJson<Ids>(
+    aText, kOwnDocument, "decode ids", "", [](const Json& aJson) {
+      return aJson.get<Ids>();
+    });
 }
 
 /// Tells a leader of this process which targets must get no new runs, and
@@ -251,7 +254,7 @@
   if (path == kJobPath) {
     auto record = DecodeRecord(aRequest.body_);
     if (!record) {
-      return { 400, {}, record.error().Text() };
+      return { kMalformed, {}, record.error().Text() };
     }
     ServiceLeader* local = findLocal_(record->service_);
     Revision revision = NumberValue(aRequest.target_, "created");
@@ -280,8 +283,11 @@
     }
     Fence fence = NumberValue(aRequest.target_, "fence");
     std::string service = QueryValue(aRequest.target_, "service");
-    auto report =
-      SetVacatingAndReport(*local, service, fence, DecodeIds(aRequest.body_));
+    auto vacating = DecodeIds(aRequest.body_);
+    if (!vacating) {
+      return { kMalformed, {}, vacating.error().Text() };
+    }
+    auto report = SetVacatingAndReport(*local, service, fence, *vacating);
     return report ? HttpAnswer{ kOk, {}, EncodeReport(*report) }
                   : HttpAnswer{ kSuperseded, {}, report.error().Text() };
   }
--- a/lib/Node/PoolManager.cpp
+++ b/lib/Node/PoolManager.cpp
@@ -2,8 +2,7 @@
 
 #include "coltsfootshed/Observe/DecisionLog.h"
 #include "coltsfootshed/Store/FencedWrite.h"
-
-#include <nlohmann/json.hpp>
+#include "coltsfootshed/Support/JsonReader.h"
 
 namespace coltsfootshed {
 
@@ -79,16 +78,24 @@
 /// managers must not alternate in ordering a VM.
 void PoolManager::LoadSaved(const std::string& aText)
 {
-  auto saved = nlohmann::json::parse(aText, nullptr, false);
-  if (!saved.is_object() ||
-      !saved.value("waves", nlohmann::json()).is_string() ||
-      !saved.contains("ordered")) {
-    LogStateChange("pools-unreadable", {});
+  using Orders = std::map<std::string, LastOrder>;
+  auto read = [this](const Json& aJson) {
+    Orders orders;
+    for (const auto& [vm, row] : aJson.at("ordered").items()) {
+      orders[vm] = { row.at(0),
+                     IntegerOf(row.at(1), kAnyCount),
+                     dependencies_.clock_.Now() };
+    }
+    planner_.LoadWaves(aJson.at("waves").get<std::string>());
+    return orders;
+  };
+  auto orders =
+    ReadJson<Orders>(aText, kOwnDocument, "read the state of pools", "", read);
+  if (!orders) {
+    LogStateChange("pools-unreadable", { { "error", orders.error().Text() } });
     return;
   }
-  planner_.LoadWaves(saved["waves"].get<std::string>());
-  for (const auto& [vm, row] : saved["ordered"].items()) {
-    LastOrder order{ row.at(0), row.at(1), dependencies_.clock_.Now() };
+  for (auto& [vm, order] : *orders) {
     planner_.RecordMaintenanceOrder(vm, order.wave_);
     if (order.holder_ != node_) {
       planner_.SuspendPlanning(vm, holderLease_);
@@ -254,12 +261,11 @@
                                  maintain == nullptr ? 0 : maintain->wave_,
                                  now };
   }
-  nlohmann::json ordered = nlohmann::json::object();
+  Json ordered = Json::object();
   for (const auto& [vm, order] : lastOrders_) {
     ordered[vm] = { order.holder_, order.wave_ };
   }
-  nlohmann::json saved = { { "waves", planner_.EncodeWaves() },
-                           { "ordered", ordered } };
+  Json saved = { { "waves", planner_.EncodeWaves() }, { "ordered", ordered } };
   Transaction transaction = FencedTransaction(keys::kPoolsDuty, fence_);
   transaction.conditions_.push_back(
     { keys::PoolManagerState(), savedRevision_ });
--- a/lib/Node/ServiceLeader.cpp
+++ b/lib/Node/ServiceLeader.cpp
@@ -2,15 +2,13 @@
 
 #include "coltsfootshed/Observe/DecisionLog.h"
 #include "coltsfootshed/Store/FencedWrite.h"
+#include "coltsfootshed/Support/JsonReader.h"
 
 #include <algorithm>
 #include <functional>
-#include <nlohmann/json.hpp>
 
 namespace coltsfootshed {
 
-using Json = nlohmann::json;
-
 /// Delay of a decision after an event, so that one decision covers events that
 /// come close together.
 static constexpr Millis kDecisionDelay{ 4 };
@@ -33,26 +31,27 @@
   return rows.dump();
 }
 
-static std::vector<TargetInfo> DecodeRoster(const std::string& aText,
-                                            const std::string& aService)
+static Result<std::vector<TargetInfo>> DecodeRoster(const std::string& aText,
+                                                    const std::string& aService)
 {
-  std::vector<TargetInfo> targets;
-  Json rows = Json::parse(aText, nullptr, false);
-  if (!rows.is_array()) {
-    LogStateChange("roster-unreadable", { { "service", aService } });
-    return targets;
-  }
-  for (const Json& row : rows) {
-    auto address = ParseEndpoint(row.at(1).get<std::string>());
-    if (address) {
+  using Targets = std::vector<TargetInfo>;
+  auto read = [&](const Json& aJson) {
+    Targets targets;
+    for (const Json& row : aJson) {
+      auto address = ParseEndpoint(row.at(1).get<std::string>());
+      if (!address) {
+        throw std::invalid_argument("a target has no valid address");
+      }
       TargetInfo target;
       target.id_ = row.at(0);
       target.service_ = aService;
       target.address_ = *address;
       targets.push_back(std::move(target));
     }
-  }
-  return targets;
+    return targets;
+  };
+  return ReadJson<Targets>(
+    aText, kOwnDocument, "read the roster", aService, read);
 }
 
 static SchedulerSettings SettingsFor(const ServiceLeader::Options& aOptions)
@@ -103,8 +102,15 @@
       }
       if (aItem->has_value()) {
         rosterRevision_ = (*aItem)->revision_;
-        scheduler_.LoadRoster(
-          DecodeRoster((*aItem)->value_, options_.service_));
+        auto roster = DecodeRoster((*aItem)->value_, options_.service_);
+        if (roster) {
+          scheduler_.LoadRoster(*roster);
+        } else {
+          LogStateChange("roster-unreadable",
+                         { { "service", options_.service_ },
+                           { "error", roster.error().Text() } });
+          scheduler_.SetRosterUnknown();
+        }
       }
       LoadProgress();
     }));
--- a/lib/Node/TargetRegistry.cpp
+++ b/lib/Node/TargetRegistry.cpp
@@ -43,6 +43,9 @@
     listed.emplace(keys::SuffixAfter(item.key_, format_.registryPrefix_));
     Apply(item);
   }
+  std::erase_if(unusable_, [&](const auto& aEntry) {
+    return listed.count(aEntry.first) == 0;
+  });
   for (const auto& [id, target] : targets_) {
     if (listed.count(id) == 0) {
       missingSince_.try_emplace(id, clock_.Now());
@@ -58,6 +61,7 @@
     return;
   }
   std::string id(keys::SuffixAfter(aEvent.item_.key_, format_.registryPrefix_));
+  unusable_.erase(id);
   if (targets_.count(id) > 0) {
     missingSince_.try_emplace(id, clock_.Now());
     sweepTimer_.Start(kSweepInterval);
@@ -69,14 +73,22 @@
   std::string id(keys::SuffixAfter(aItem.key_, format_.registryPrefix_));
   auto target = format_.readTarget_(id, aItem.value_);
   if (!target) {
-    LogStateChange("registry-entry-unusable",
-                   { { "target", id }, { "error", target.error().Text() } });
+    // The range may be read many times while the entry stays the same.
+    Revision& logged = unusable_[id];
+    if (logged != aItem.revision_) {
+      logged = aItem.revision_;
+      LogStateChange("registry-entry-unusable",
+                     { { "target", id },
+                       { "revision", std::to_string(aItem.revision_) },
+                       { "error", target.error().Text() } });
+    }
     if (targets_.count(id) > 0) {
       missingSince_.try_emplace(id, clock_.Now());
       sweepTimer_.Start(kSweepInterval);
     }
     return;
   }
+  unusable_.erase(id);
   missingSince_.erase(id);
   targets_[id] = *target;
   listener_.onTarget_(*target);
--- a/lib/Observe/DecisionLog.cpp
+++ b/lib/Observe/DecisionLog.cpp
@@ -2,9 +2,11 @@
 
 #include "coltsfootshed/Observe/BoundedStdoutSink.h"
 
+#include <algorithm>
 #include <boost/histogram.hpp>
 #include <cstdio>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <spdlog/spdlog.h>
 #include <sstream>
 #include <vector>
@@ -13,6 +15,8 @@
 
 namespace bh = boost::histogram;
 
+/// Longest text of one field of a log line.
+static constexpr std::size_t kMaxFieldBytes = 1000;
 static constexpr unsigned kBuckets = 20;
 static constexpr double kMinMs = 1.0;
 static constexpr double kMaxMs = 600000.0;
@@ -45,10 +49,20 @@
   return metrics;
 }
 
+/// Appends a text as a JSON string. The text may be that of another program:
+/// it is cut off, and bytes that are no UTF-8 are replaced.
 static void AppendQuoted(std::string& aOut, std::string_view aText)
 {
+  std::string_view text = aText.substr(0, kMaxFieldBytes);
+  bool isAscii = std::all_of(
+    text.begin(), text.end(), [](char aByte) { return aByte >= 0; });
+  if (!isAscii) {
+    aOut += nlohmann::json(text).dump(
+      -1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return;
+  }
   aOut += '"';
-  for (char c : aText) {
+  for (char c : text) {
     if (c == '"' || c == '\\') {
       aOut += '\\';
       aOut += c;
--- a/lib/Pools/PoolReport.cpp
+++ b/lib/Pools/PoolReport.cpp
@@ -1,11 +1,12 @@
 // JSON form in which entry VMs exchange pool reports.
 #include "coltsfootshed/Pools/PoolPlanner.h"
 
-#include <nlohmann/json.hpp>
+#include "coltsfootshed/Support/JsonReader.h"
 
 namespace coltsfootshed {
 
-using Json = nlohmann::json;
+/// Amounts are sums over all targets of a service.
+static constexpr IntegerRange kAmount{ -kMaxExactInteger, kMaxExactInteger };
 
 static Json RowsOf(const std::map<std::string, Resources>& aByName)
 {
@@ -20,7 +21,9 @@
 {
   std::map<std::string, Resources> byName;
   for (const Json& row : aRows) {
-    byName[row.at(0)] = { row.at(1), row.at(2), 0 };
+    byName[row.at(0)] = { IntegerOf(row.at(1), kAmount),
+                          IntegerOf(row.at(2), kAmount),
+                          0 };
   }
   return byName;
 }
@@ -46,29 +49,39 @@
   return json.dump();
 }
 
+/// Reads a pair of processor and memory.
+static Resources ReadAmounts(const Json& aPair)
+{
+  return { IntegerOf(aPair.at(0), kAmount),
+           IntegerOf(aPair.at(1), kAmount),
+           0 };
+}
+
+static int ReadCount(const Json& aJson)
+{
+  return static_cast<int>(IntegerOf(aJson, kSmallCount));
+}
+
 Result<PoolReport> DecodeReport(std::string_view aText)
 {
-  try {
-    Json json = Json::parse(aText);
+  auto read = [](const Json& aJson) {
     PoolReport report;
-    report.service_ = json.at("service");
-    report.used_.cpu_ = json.at("used").at(0);
-    report.used_.memory_ = json.at("used").at(1);
-    report.longRunning_.cpu_ = json.at("lasting").at(0);
-    report.longRunning_.memory_ = json.at("lasting").at(1);
-    report.waiting_.cpu_ = json.at("waiting").at(0);
-    report.waiting_.memory_ = json.at("waiting").at(1);
-    report.byLabel_ = ReadRows(json.at("labels"));
-    report.byRack_ = ReadRows(json.at("racks"));
-    report.arrivingCpu_ = json.at("arriving");
-    report.minVms_ = json.at("least");
-    for (const Json& row : json.at("targets")) {
-      report.targets_.push_back({ row.at(0), row.at(1), row.at(2), row.at(3) });
+    report.service_ = aJson.at("service");
+    report.used_ = ReadAmounts(aJson.at("used"));
+    report.longRunning_ = ReadAmounts(aJson.at("lasting"));
+    report.waiting_ = ReadAmounts(aJson.at("waiting"));
+    report.byLabel_ = ReadRows(aJson.at("labels"));
+    report.byRack_ = ReadRows(aJson.at("racks"));
+    report.arrivingCpu_ = aJson.at("arriving");
+    report.minVms_ = ReadCount(aJson.at("least"));
+    for (const Json& row : aJson.at("targets")) {
+      report.targets_.push_back(
+        { row.at(0), ReadCount(row.at(1)), ReadCount(row.at(2)), row.at(3) });
     }
     return report;
-  } catch (const Json::exception& failure) {
-    return Fail("decode pool report", "", failure.what());
-  }
+  };
+  return ReadJson<PoolReport>(
+    aText, kOwnDocument, "decode a pool report", "", read);
 }
 
 } // namespace coltsfootshed
--- a/lib/Pools/PoolWaves.cpp
+++ b/lib/Pools/PoolWaves.cpp
@@ -2,13 +2,12 @@
 #include "coltsfootshed/Observe/DecisionLog.h"
 #include "coltsfootshed/Pools/PoolPlanner.h"
 
+#include "coltsfootshed/Support/JsonReader.h"
+
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace coltsfootshed {
 
-using Json = nlohmann::json;
-
 /// Share of a pool's VMs that waves may empty at once.
 static constexpr double kMaxWaveShare = 0.25;
 
@@ -148,15 +147,21 @@
 
 void PoolPlanner::LoadWaves(std::string_view aText)
 {
-  Json json = Json::parse(aText, nullptr, false);
-  if (!json.is_array()) {
-    LogStateChange("waves-unreadable", {});
+  auto json = ParseJson(aText, kOwnDocument, "read the state of waves");
+  if (!json || !json->is_array()) {
+    LogStateChange(
+      "waves-unreadable",
+      { { "error", json ? "not an array" : json.error().Text() } });
     return;
   }
-  for (const Json& row : json) {
-    auto wave = waves_.find(row.at(0).get<std::int64_t>());
-    if (wave != waves_.end()) {
-      row.at(1).get_to(wave->second.startedVms_);
+  for (const Json& row : *json) {
+    try {
+      auto wave = waves_.find(IntegerOf(row.at(0), kAnyCount));
+      if (wave != waves_.end()) {
+        wave->second.startedVms_ = row.at(1).get<std::set<std::string>>();
+      }
+    } catch (const std::exception& failure) {
+      LogStateChange("wave-state-unreadable", { { "error", failure.what() } });
     }
   }
 }
--- a/lib/Scheduling/Scheduler.cpp
+++ b/lib/Scheduling/Scheduler.cpp
@@ -117,7 +117,8 @@
     return;
   }
   job->progressRevision_ = aRevision;
-  if (!job->LoadProgress(aProgress)) {
+  job->isProgressUnreadable_ = !job->LoadProgress(aProgress);
+  if (job->isProgressUnreadable_) {
     LogStateChange("progress-unreadable",
                    { { "job", std::string(aJob) },
                      { "revision", std::to_string(aRevision) } });
--- a/lib/Scheduling/SchedulerHolds.cpp
+++ b/lib/Scheduling/SchedulerHolds.cpp
@@ -459,6 +459,7 @@
   Millis limit =
     createdAt_ + settings_.lease_ + settings_.lease_ / 50 + Millis(100);
   bool allHeld =
+    !rosterUnknown_ &&
     std::all_of(targets_.begin(), targets_.end(), [](const auto& aEntry) {
       return aEntry.second.held_ || !aEntry.second.inRoster_;
     });
--- a/lib/Scheduling/SchedulerPlacement.cpp
+++ b/lib/Scheduling/SchedulerPlacement.cpp
@@ -157,7 +157,7 @@
     // started may start: those accepted under this leadership, whose fence is
     // the store revision at which it began.
     bool mayStart = ready_ || job->created_ > settings_.fence_;
-    if (job->IsEnded() || !mayStart) {
+    if (job->IsEnded() || job->isProgressUnreadable_ || !mayStart) {
       continue;
     }
     if (job->CreateDueOccurrences(unixTime)) {
--- a/unittests/Node/JobsNodeTest.cpp
+++ b/unittests/Node/JobsNodeTest.cpp
@@ -63,6 +63,7 @@
   CPPUNIT_TEST(KnownQueueIsServedWhileTheStoreIsSilent);
   CPPUNIT_TEST(KnownQueueIsRefusedIfOnlyItsConfigurationIsOld);
   CPPUNIT_TEST(JobIsNotAcceptedWithAnOldConfiguration);
+  CPPUNIT_TEST(MalformedJobsAreRejected);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr Millis kConfigDeadline{ 2000 };
@@ -153,6 +154,20 @@
     CPPUNIT_ASSERT_EQUAL(200, Call("GET", "/q/").code_);
   }
 
+  /// The error in the answer quotes the body, which may not be UTF-8.
+  void MalformedJobsAreRejected()
+  {
+    Start(kNoContactTime);
+    const std::string deep(500000, '[');
+    for (const std::string& body : { std::string("{\"Spec\":\"\xff\"}"),
+                                     std::string("\xff\xfe"),
+                                     std::string("{\"Steps\":") + deep,
+                                     std::string("[]") }) {
+      CPPUNIT_ASSERT_EQUAL(400, Call("POST", kJobPath, body.c_str()).code_);
+    }
+    CPPUNIT_ASSERT_EQUAL(200, Call("POST", kJobPath, kJob).code_);
+  }
+
 private:
   /// Returns loopback addresses with different free ports.
   static std::array<Endpoint, 3> FreeAddresses()
--- a/unittests/Node/LeaderElectionTest.cpp
+++ b/unittests/Node/LeaderElectionTest.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(DoesNotContinueLeadershipOfAnEarlierProcess);
   CPPUNIT_TEST(LostLeaseEndsLeadership);
   CPPUNIT_TEST(LostLeaseEndsLeadershipWithoutWatch);
+  CPPUNIT_TEST(MalformedMembersAreNoMembers);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -76,6 +77,31 @@
     CPPUNIT_ASSERT_EQUAL(Revision(0), duties_.at("a"));
   }
 
+  /// Members are written by other versions, too.
+  void MalformedMembersAreNoMembers()
+  {
+    const std::vector<std::string> odd = {
+      R"({"peers":7,"share":1.0})",
+      R"({"peers":"10.0.0.2:7000","share":"x"})",
+      R"({"peers":"10.0.0.2:70000"})",
+      R"({"peers":"10.0.0.2:7000","share":-1})",
+      std::string(100000, '[') + std::string(100000, ']'),
+      "[]",
+      "\xff"
+    };
+    for (std::size_t i = 0; i < odd.size(); ++i) {
+      store_->Change(keys::Node("odd" + std::to_string(i)), odd[i]);
+    }
+    store_->Change(keys::Node("vm2"), R"({"peers":"10.0.0.2:7000"})");
+    Start();
+    RunUntil([this] { return duties_.count("a") > 0; });
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), election_->Members().size());
+    store_->Change(keys::Node("vm2"), odd[0]);
+    store_->Change(keys::Node("vm3"), R"({"peers":"10.0.0.3:7000"})");
+    RunUntil([this] { return election_->PeerEndpointOf("vm3").has_value(); });
+    CPPUNIT_ASSERT(!election_->PeerEndpointOf("vm2").has_value());
+  }
+
 private:
   void Start()
   {
--- a/unittests/Support/FakeStore.h
+++ b/unittests/Support/FakeStore.h
@@ -40,6 +40,7 @@
              std::string_view,
              OnPage aOnPage) override
   {
+    ++ranges_;
     StorePage page;
     for (const auto& [key, item] : items_) {
       if (key.starts_with(aPrefix)) {
@@ -65,7 +66,7 @@
       waiting_.end(), { std::string(aPrefix), aAfter, std::move(aOnEvents) });
     watch->timer_ =
       std::make_unique<Timer>(base_, [this, watch] { EndWatch(watch); });
-    watch->timer_->Start(EventsFor(*watch).events_.empty() ? aWait : Millis(1));
+    watch->timer_->Start(HasAnswer(*watch) ? Millis(1) : aWait);
   }
   void Commit(const Transaction& aTransaction, OnCommit aOnCommit) override
   {
@@ -133,6 +134,15 @@
     Notify();
   }
 
+  /// Forgets all changes so far: watches from an earlier revision end.
+  void DropHistory()
+  {
+    ++revision_;
+    droppedUpTo_ = revision_;
+    history_.clear();
+    Notify();
+  }
+
   std::map<std::string, StoreItem> items_;
   std::set<LeaseId> ended_;
   LeaseId lastLease_ = 100; ///< the first lease that is granted is 101
@@ -141,6 +151,7 @@
   std::string silentPrefix_; ///< if not empty: watches of it are not answered
   std::string silentKey_;    ///< if not empty: reading it is not answered
   int reads_ = 0;            ///< of single keys
+  int ranges_ = 0;           ///< pages read
   int watches_ = 0;
   int unansweredWatches_ = 0;
 
@@ -167,6 +178,10 @@
   StoreEvents EventsFor(const WaitingWatch& aWatch) const
   {
     StoreEvents events;
+    if (aWatch.after_ < droppedUpTo_) {
+      events.historyGone_ = true;
+      return events;
+    }
     for (const StoreEvent& event : history_) {
       bool wanted = event.item_.revision_ > aWatch.after_ &&
                     event.item_.key_.starts_with(aWatch.prefix_);
@@ -178,10 +193,16 @@
     return events;
   }
 
+  bool HasAnswer(const WaitingWatch& aWatch) const
+  {
+    StoreEvents events = EventsFor(aWatch);
+    return events.historyGone_ || !events.events_.empty();
+  }
+
   void Notify()
   {
     for (WaitingWatch& watch : waiting_) {
-      if (!EventsFor(watch).events_.empty()) {
+      if (HasAnswer(watch)) {
         watch.timer_->Start(Millis(1));
       }
     }
@@ -225,6 +246,7 @@
 
   event_base* base_;
   std::vector<StoreEvent> history_;
+  Revision droppedUpTo_ = 0; ///< history_ has all changes after this
   Watches waiting_;
   Watches endedWatches_;
   std::vector<std::unique_ptr<Timer>> timers_;
