After a take-over, only what may run on a silent target waits for it

Causes: (1) VMs were moved while the saved roster still named their targets; (2) one silent target held back every older job, also steps that nobody can have started before.

Changes: a leader reports which targets its saved roster may name, and the pool manager takes a VM out of its pool only when that is over (roster checks each 100 ms instead of 300, as the manager plans that often). A task that was listed as running after the take-over, and each step that depends on it, does not wait: all decisions of earlier leaders were made before, so they can have started neither. Speculative tasks are excepted, gangs as far as their own restart goes. Looking up a VM's use is no longer linear in the targets of its pool.

--- a/include/coltsfootshed/Jobs/Job.h
+++ b/include/coltsfootshed/Jobs/Job.h
@@ -50,12 +50,16 @@
   std::vector<LiveRun> liveRuns_;
   std::set<std::string> failedOn_; ///< targets; not saved
   Millis notBefore_{ 0 };          ///< earliest next start; not saved
+  /// A target listed a run of it after this scheduler had taken over, and it
+  /// has no other run; not saved.
+  bool wasRunningAtTakeOver_ = false;
 };
 
 struct StepProgress
 {
   std::vector<TaskProgress> tasks_;
   int done_ = 0;
+  bool wasRunningAtTakeOver_ = false; ///< some of its tasks were; not saved
 
   bool IsDone() const { return done_ == static_cast<int>(tasks_.size()); }
 };
--- a/include/coltsfootshed/Pools/PoolPlanner.h
+++ b/include/coltsfootshed/Pools/PoolPlanner.h
@@ -29,6 +29,8 @@
   int runs_ = 0;
   int longRunning_ = 0;   ///< of these, end only when cancelled
   bool vacating_ = false; ///< being emptied: takes no starts
+  /// The saved roster may name it, so a new leader would wait for its answer.
+  bool inRoster_ = false;
 };
 
 /// Load of a service's pool, as the service's scheduler reports it.
@@ -119,6 +121,8 @@
   {
     PoolReport content_;
     Millis receivedAt_{ 0 };
+    /// Index into content_.targets_, by target.
+    std::map<std::string, std::size_t, std::less<>> uses_;
   };
   enum class Intent
   {
--- a/include/coltsfootshed/Scheduling/Scheduler.h
+++ b/include/coltsfootshed/Scheduling/Scheduler.h
@@ -243,6 +243,14 @@
     Occurrence* occurrence_ = nullptr;
     int step_ = 0;
     StepRank rank_;
+    /// An earlier scheduler may have started runs of its tasks that are not
+    /// known. Only tasks that were running at the take-over may start.
+    bool mayHaveUnknownRuns_ = false;
+
+    bool MayStart(const TaskProgress& aTask) const
+    {
+      return !mayHaveUnknownRuns_ || aTask.wasRunningAtTakeOver_;
+    }
   };
 
   /// Returns null if the job is not known.
@@ -270,6 +278,7 @@
   void ApplyRunning(TargetState& aTarget, const HoldAnswer& aAnswer);
   TaskProgress* FindOrCreateTask(Job* aJob, const TaskName& aTask);
   void Adopt(TargetState& aTarget, const ReportedRun& aRunning);
+  static void NoteRunningAtTakeOver(Job& aJob, const TaskName& aTask);
   void DropMissingRuns(TargetState& aTarget,
                        const HoldAnswer& aAnswer,
                        Millis aSentAt);
@@ -303,6 +312,10 @@
   void PlaceStep(const ReadyStep& aStep, std::vector<SchedulerOrder>& aOrders);
   void PlaceGang(const ReadyStep& aStep, std::vector<SchedulerOrder>& aOrders);
   bool WantsStart(const TaskProgress& aTask, const StepSpec& aSpec) const;
+  bool IsUnknownToEarlierSchedulers(const Job& aJob) const;
+  void AddReadySteps(Job& aJob,
+                     Occurrence& aOccurrence,
+                     std::vector<ReadyStep>& aReady) const;
   TargetState* ChooseTarget(const ReadyStep& aStep,
                             const TaskProgress& aTask,
                             std::span<const std::string> aSiblingTargets);
--- a/include/coltsfootshed/Scheduling/TargetState.h
+++ b/include/coltsfootshed/Scheduling/TargetState.h
@@ -75,8 +75,10 @@
   bool HasLabel(std::string_view aLabel) const;
 
   TargetInfo info_;
-  bool registered_ = false;    ///< the registry lists it now
-  bool inRoster_ = false;      ///< the saved roster names it
+  bool registered_ = false; ///< the registry lists it now
+  bool inRoster_ = false;   ///< the saved roster names it
+  /// The saved roster may name it: no save that omits it is confirmed.
+  bool mayBeInRoster_ = false;
   bool held_ = false;          ///< has answered under this scheduler's fence
   std::int64_t startedAt_ = 0; ///< incarnation that answered last; 0: none
   /// When the answer that gave clockRead_ arrived.
--- a/lib/Pools/PoolPlanner.cpp
+++ b/lib/Pools/PoolPlanner.cpp
@@ -84,7 +84,11 @@
 
 void PoolPlanner::SetReport(const PoolReport& aReport)
 {
-  reports_[aReport.service_] = { aReport, clock_.Now() };
+  Report report{ aReport, clock_.Now(), {} };
+  for (std::size_t i = 0; i < aReport.targets_.size(); ++i) {
+    report.uses_.emplace(aReport.targets_[i].target_, i);
+  }
+  reports_[aReport.service_] = std::move(report);
 }
 
 const PoolVm* PoolPlanner::FindVm(std::string_view aVm) const
@@ -108,12 +112,10 @@
   if (report == nullptr) {
     return nullptr;
   }
-  for (const TargetUse& use : report->content_.targets_) {
-    if (use.target_ == aVm.target_) {
-      return &use;
-    }
-  }
-  return nullptr;
+  auto found = report->uses_.find(aVm.target_);
+  return found == report->uses_.end()
+           ? nullptr
+           : &report->content_.targets_.at(found->second);
 }
 
 /// Returns how many VMs of the given size a load fills, not rounded.
@@ -341,13 +343,16 @@
   return planned;
 }
 
+/// Returns true if a VM can be taken out of its pool. While the saved roster
+/// names its target, a new leader of the service would wait for that target
+/// until its leases must have run out.
 bool PoolPlanner::IsEmptied(const PoolVm& aVm) const
 {
   if (IsSpare(aVm.pool_)) {
     return true;
   }
   const TargetUse* use = FindUse(aVm);
-  return use != nullptr && use->vacating_ && use->runs_ == 0;
+  return use != nullptr && use->vacating_ && use->runs_ == 0 && !use->inRoster_;
 }
 
 void PoolPlanner::OrderEmptied(std::vector<PoolOrder>& aOrders)
--- a/lib/Pools/PoolReport.cpp
+++ b/lib/Pools/PoolReport.cpp
@@ -75,8 +75,13 @@
     report.arrivingCpu_ = aJson.at("arriving");
     report.minVms_ = ReadCount(aJson.at("least"));
     for (const Json& row : aJson.at("targets")) {
-      report.targets_.push_back(
-        { row.at(0), ReadCount(row.at(1)), ReadCount(row.at(2)), row.at(3) });
+      // Earlier versions leave out whether the roster names the target.
+      bool inRoster = row.size() > 4 && row.at(4).get<bool>();
+      report.targets_.push_back({ row.at(0),
+                                  ReadCount(row.at(1)),
+                                  ReadCount(row.at(2)),
+                                  row.at(3),
+                                  inRoster });
     }
     return report;
   };
--- a/lib/Scheduling/Scheduler.cpp
+++ b/lib/Scheduling/Scheduler.cpp
@@ -223,9 +223,11 @@
     if (!target.registered_ || !target.held_) {
       continue;
     }
-    TargetUse use{
-      id, static_cast<int>(target.runs_.size()), 0, target.vacating_
-    };
+    TargetUse use{ id,
+                   static_cast<int>(target.runs_.size()),
+                   0,
+                   target.vacating_,
+                   target.mayBeInRoster_ };
     Resources used = target.info_.capacity_;
     used -= target.Free();
     report.used_ += used;
@@ -449,6 +451,7 @@
     if (BelongsInRoster(target)) {
       roster.targets_.push_back(target.info_);
       rosterSent_.push_back(id);
+      target.mayBeInRoster_ = true;
     } else {
       // The save may take effect from now on, so the saved roster may lack it.
       target.inRoster_ = false;
@@ -471,6 +474,7 @@
   for (auto& [id, target] : targets_) {
     target.inRoster_ = std::binary_search(
       rosterSent_.begin(), rosterSent_.end(), id, std::less<>());
+    target.mayBeInRoster_ = target.inRoster_;
   }
 }
 
--- a/lib/Scheduling/SchedulerHolds.cpp
+++ b/lib/Scheduling/SchedulerHolds.cpp
@@ -33,8 +33,9 @@
 /// Longest pause between holds while ends are not saved yet.
 static constexpr Millis kSavePause{ 200 };
 /// Pause between checks for targets that have to enter or leave the roster;
-/// each change costs a call to the store.
-static constexpr Millis kRosterCheckPause{ 300 };
+/// each change costs a call to the store. The pool manager, which plans as
+/// often, moves a VM only when its target has left the roster.
+static constexpr Millis kRosterCheckPause{ 100 };
 /// The protocol limits the ended runs in one answer of a target to this number.
 static constexpr std::size_t kMaxEndsPerAnswer = 500;
 
@@ -56,6 +57,7 @@
   for (const TargetInfo& info : aTargets) {
     auto [entry, isNew] = targets_.try_emplace(info.id_, info);
     entry->second.inRoster_ = true;
+    entry->second.mayBeInRoster_ = true;
   }
 }
 
@@ -546,6 +548,7 @@
     run.estimate_ = EstimateOf(spec);
     task->liveRuns_.push_back({ aTarget.info_.id_, aRunning.run_ });
     job->Begin();
+    NoteRunningAtTakeOver(*job, aRunning.task_);
   }
   LogDecision("run-adopted",
               { { "task", aRunning.task_.Text() },
@@ -555,6 +558,25 @@
   aTarget.AddRun({ aRunning.task_, aRunning.run_ }, run);
 }
 
+/// Notes that a task was still running when this scheduler had taken over. All
+/// decisions of earlier schedulers were made before, so none of them has
+/// started a step that depends on the task, or, as runs of a task overlap only
+/// if it is speculative, another run of it.
+void Scheduler::NoteRunningAtTakeOver(Job& aJob, const TaskName& aTask)
+{
+  const StepSpec& spec = *aJob.SpecOf(aTask);
+  if (spec.speculative_) {
+    return; // another run of it may have been seen to end
+  }
+  StepProgress& step = aJob.Occurrences()
+                         .at(aTask.occurrence_)
+                         .steps_.at(static_cast<std::size_t>(aTask.step_));
+  step.wasRunningAtTakeOver_ = true;
+  TaskProgress& task = step.tasks_.at(static_cast<std::size_t>(aTask.index_));
+  // Other members of a gang may still wait on targets that do not answer.
+  task.wasRunningAtTakeOver_ = !spec.gang_;
+}
+
 /// Drops runs that the target lists neither as running nor as ended, although
 /// their start was answered before the request was sent. An answer with the
 /// maximum number of ends may be incomplete and is skipped.
--- a/lib/Scheduling/SchedulerPlacement.cpp
+++ b/lib/Scheduling/SchedulerPlacement.cpp
@@ -148,38 +148,81 @@
   return false;
 }
 
+/// Returns true if no earlier scheduler can have started the job: it was
+/// accepted under this leadership, whose fence is the store revision at which
+/// it began.
+bool Scheduler::IsUnknownToEarlierSchedulers(const Job& aJob) const
+{
+  return aJob.created_ > settings_.fence_;
+}
+
+/// Returns for each step whether it became ready after this scheduler had taken
+/// over, so that no earlier one has started it.
+static std::vector<bool> StepsReadySinceTakeOver(
+  const std::vector<StepSpec>& aSteps,
+  const Occurrence& aOccurrence)
+{
+  std::vector<bool> since(aSteps.size(), false);
+  for (std::size_t i = 0; i < aSteps.size(); ++i) {
+    since[i] = std::any_of(
+      aSteps[i].after_.begin(), aSteps[i].after_.end(), [&](int aEarlier) {
+        // Steps depend only on earlier ones.
+        auto earlier = static_cast<std::size_t>(aEarlier);
+        return aOccurrence.steps_.at(earlier).wasRunningAtTakeOver_ ||
+               since.at(earlier);
+      });
+  }
+  return since;
+}
+
+/// Adds the steps of an occurrence with tasks that could start now. Designed
+/// for take-overs while some targets of the roster do not answer: only tasks
+/// that may run there wait for the leases of these targets to run out.
+void Scheduler::AddReadySteps(Job& aJob,
+                              Occurrence& aOccurrence,
+                              std::vector<ReadyStep>& aReady) const
+{
+  const std::vector<StepSpec>& specs = aJob.Record().spec_.steps_;
+  bool allRunsKnown = ready_ || IsUnknownToEarlierSchedulers(aJob);
+  std::vector<bool> sinceTakeOver;
+  if (!allRunsKnown) {
+    sinceTakeOver = StepsReadySinceTakeOver(specs, aOccurrence);
+  }
+  for (std::size_t i = 0; i < aOccurrence.steps_.size(); ++i) {
+    const StepSpec& spec = specs[i];
+    const StepProgress& step = aOccurrence.steps_[i];
+    if (step.IsDone() || !aOccurrence.IsReady(spec)) {
+      continue;
+    }
+    ReadyStep ready{ &aJob, &aOccurrence, static_cast<int>(i), {} };
+    ready.mayHaveUnknownRuns_ = !allRunsKnown && !sinceTakeOver[i];
+    bool wants = std::any_of(
+      step.tasks_.begin(), step.tasks_.end(), [&](const TaskProgress& aTask) {
+        return ready.MayStart(aTask) && WantsStart(aTask, spec);
+      });
+    if (wants) {
+      ready.rank_ = RankOf(aJob, aOccurrence);
+      aReady.push_back(ready);
+    }
+  }
+}
+
 std::vector<Scheduler::ReadyStep> Scheduler::ReadySteps()
 {
   std::vector<ReadyStep> ready;
   Millis unixTime = wallClock_.Now();
   for (auto& [id, job] : jobs_) {
-    // Before all targets are held, only jobs that no earlier scheduler can have
-    // started may start: those accepted under this leadership, whose fence is
-    // the store revision at which it began.
-    bool mayStart = ready_ || job->created_ > settings_.fence_;
-    if (job->IsEnded() || job->isProgressUnreadable_ || !mayStart) {
+    if (job->IsEnded() || job->isProgressUnreadable_) {
       continue;
     }
-    if (job->CreateDueOccurrences(unixTime)) {
+    // An earlier scheduler may have created and started the occurrences that
+    // are due.
+    bool mayCreate = ready_ || IsUnknownToEarlierSchedulers(*job);
+    if (mayCreate && job->CreateDueOccurrences(unixTime)) {
       MarkChanged(*job);
     }
     for (auto& [number, occurrence] : job->Occurrences()) {
-      for (std::size_t i = 0; i < occurrence.steps_.size(); ++i) {
-        const StepSpec& spec = job->Record().spec_.steps_[i];
-        const StepProgress& step = occurrence.steps_[i];
-        bool open = !step.IsDone() && occurrence.IsReady(spec);
-        bool wants = open && std::any_of(step.tasks_.begin(),
-                                         step.tasks_.end(),
-                                         [&](const TaskProgress& aTask) {
-                                           return WantsStart(aTask, spec);
-                                         });
-        if (wants) {
-          ready.push_back({ job.get(),
-                            &occurrence,
-                            static_cast<int>(i),
-                            RankOf(*job, occurrence) });
-        }
-      }
+      AddReadySteps(*job, occurrence, ready);
     }
   }
   std::stable_sort(
@@ -447,7 +490,7 @@
     }
   }
   for (std::size_t i = 0; i < step.tasks_.size(); ++i) {
-    if (!WantsStart(step.tasks_[i], spec)) {
+    if (!aStep.MayStart(step.tasks_[i]) || !WantsStart(step.tasks_[i], spec)) {
       continue;
     }
     TargetState* target = ChooseTarget(aStep, step.tasks_[i], siblingTargets);
--- a/unittests/Pools/PoolPlannerTest.cpp
+++ b/unittests/Pools/PoolPlannerTest.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(VmsWithRunsAreNotMoved);
   CPPUNIT_TEST(VmsWithLongRunningRunsAreNotMoved);
   CPPUNIT_TEST(TargetsOfMovedVmsTakeNoStarts);
+  CPPUNIT_TEST(VmsOfTargetsInTheRosterAreNotMoved);
   CPPUNIT_TEST(StaleReportsMoveNoVms);
   CPPUNIT_TEST(WaveKeepsItsCap);
   CPPUNIT_TEST(WaveIsCompleteAfterItsLastVm);
@@ -109,6 +110,22 @@
                              "t-" + moves[0].vm_) != vacating.end());
   }
 
+  /// Finding LOST: VMs were moved while the store did not take a new roster.
+  /// The next leader waited 5.2 s for 26 targets that had gone with them.
+  void VmsOfTargetsInTheRosterAreNotMoved()
+  {
+    Report("a", 4, 20);
+    Report("b", 0, 0);
+    Moves();
+    auto vacating = planner_->VacatingTargets("b");
+    PoolReport report = ReportOf("b", 0, 0, vacating);
+    report.targets_[0].inRoster_ = true;
+    planner_->SetReport(report);
+    CPPUNIT_ASSERT_EQUAL(vacating.size() - 1, Moves().size());
+    Report("b", 0, 0, vacating);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Moves().size());
+  }
+
   void StaleReportsMoveNoVms()
   {
     Report("a", 4, 20);
--- a/unittests/Scheduling/SchedulerTest.cpp
+++ b/unittests/Scheduling/SchedulerTest.cpp
@@ -38,6 +38,13 @@
   CPPUNIT_TEST(EndedJobsAreSavedFirst);
   CPPUNIT_TEST(AnEarlierPoolManagerIsIgnored);
   CPPUNIT_TEST(TargetsLeavingTheRosterGetNoStarts);
+  CPPUNIT_TEST(StepsThatBecomeReadyAfterATakeOverDoNotWait);
+  CPPUNIT_TEST(StepsThatMayHaveStartedBeforeATakeOverWait);
+  CPPUNIT_TEST(ATaskSeenRunningAfterATakeOverIsRestarted);
+  CPPUNIT_TEST(ASpeculativeTaskSeenRunningAfterATakeOverWaits);
+  CPPUNIT_TEST(ATargetIsReportedAsInTheRosterUntilASaveOmitsIt);
+  CPPUNIT_TEST(AJobWithUnreadableProgressStartsNothing);
+  CPPUNIT_TEST(OldJobsWaitIfTheRosterIsUnreadable);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -111,6 +118,87 @@
     CPPUNIT_ASSERT(!SilenceFor("t2", Millis(6000)).empty());
   }
 
+  /// Finding LOST: a step became ready 2 s after a take-over, and waited until
+  /// a silent target's leases had run out. An earlier scheduler cannot have
+  /// started it, as a task of the step before was still running.
+  void StepsThatBecomeReadyAfterATakeOverDoNotWait()
+  {
+    JobRecord record = TwoStepRecord();
+    TaskName first{ record.id_, 0, 0, 0 };
+    TakeOver({ { first, 5, "", 50, 0 } }, {}, record);
+    Step();
+    HoldAnswer answer = MakeHoldAnswer({});
+    answer.ended_.push_back({ 1, first, 5, RunEnd::Done, "" });
+    scheduler_->OnHold("t1", answer);
+    auto starts = OrdersOf<TargetStart>(Step());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), starts.size());
+    CPPUNIT_ASSERT_EQUAL(1, starts[0].order_.task_.step_);
+  }
+
+  /// The earlier scheduler may have seen the same end, and started the next
+  /// step on the silent target.
+  void StepsThatMayHaveStartedBeforeATakeOverWait()
+  {
+    JobRecord record = TwoStepRecord();
+    TaskName first{ record.id_, 0, 0, 0 };
+    TakeOver({}, { { 1, first, 5, RunEnd::Done, "" } }, record);
+    CPPUNIT_ASSERT(OrdersOf<TargetStart>(Step()).empty());
+    CPPUNIT_ASSERT(!SilenceFor("t2", Millis(6000)).empty());
+  }
+
+  /// A task has one run at a time, so none is on the silent target.
+  void ATaskSeenRunningAfterATakeOverIsRestarted()
+  {
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), RestartsAfterATakeOver(false));
+  }
+
+  void ASpeculativeTaskSeenRunningAfterATakeOverWaits()
+  {
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), RestartsAfterATakeOver(true));
+  }
+
+  /// If its VM were moved before, a successor would wait for the target.
+  void ATargetIsReportedAsInTheRosterUntilASaveOmitsIt()
+  {
+    Register("t1");
+    Decide();
+    AnswerHold("t1", {});
+    CPPUNIT_ASSERT(scheduler_->Report().targets_.at(0).inRoster_);
+    std::vector<std::string> vacating = { "t1" };
+    scheduler_->SetVacating(1, vacating);
+    rosterSavesSucceed_ = false;
+    clock_.Advance(Millis(1000));
+    CPPUNIT_ASSERT(!OrdersOf<SaveRoster>(Decide()).empty());
+    CPPUNIT_ASSERT(scheduler_->Report().targets_.at(0).inRoster_);
+    rosterSavesSucceed_ = true;
+    clock_.Advance(Millis(1000));
+    CPPUNIT_ASSERT(!OrdersOf<SaveRoster>(Decide()).empty());
+    CPPUNIT_ASSERT(!scheduler_->Report().targets_.at(0).inRoster_);
+  }
+
+  void AJobWithUnreadableProgressStartsNothing()
+  {
+    Register("t1");
+    Decide();
+    AnswerHold("t1", {});
+    AddJob(kFence + 1);
+    scheduler_->LoadProgress(Record().id_, "{", 1);
+    CPPUNIT_ASSERT(OrdersOf<TargetStart>(Step()).empty());
+    CPPUNIT_ASSERT(SilenceFor("t2", Millis(6000)).empty());
+  }
+
+  void OldJobsWaitIfTheRosterIsUnreadable()
+  {
+    scheduler_->SetRosterUnknown();
+    Register("t1");
+    Decide();
+    AnswerHold("t1", {});
+    AddJob(kFence - 1);
+    CPPUNIT_ASSERT(OrdersOf<TargetStart>(Step()).empty());
+    clock_.Advance(Millis(5300));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), OrdersOf<TargetStart>(Step()).size());
+  }
+
   void NewJobsDoNotWait()
   {
     TakeOver();
@@ -686,13 +774,13 @@
     return found;
   }
 
-  /// Calls Decide() on the scheduler and answers its saves: rosters are saved,
-  /// progress only if savesSucceed_ is set. Returns all orders.
+  /// Calls Decide() on the scheduler and answers its saves as savesSucceed_ and
+  /// rosterSavesSucceed_ say. Returns all orders.
   Orders Decide()
   {
     Orders orders = scheduler_->Decide();
     if (!OrdersOf<SaveRoster>(orders).empty()) {
-      scheduler_->OnRosterSaved(true);
+      scheduler_->OnRosterSaved(rosterSavesSucceed_);
     }
     for (const SaveProgress& save : OrdersOf<SaveProgress>(orders)) {
       scheduler_->OnSaved(save, savesSucceed_ ? 99 : 0);
@@ -792,6 +880,47 @@
     AnswerHold("t1", {});
   }
 
+  /// The same, with a job that was accepted before and what t1 lists.
+  void TakeOver(std::vector<ReportedRun> aRunning,
+                std::vector<EndedRun> aEnded,
+                const JobRecord& aRecord)
+  {
+    scheduler_->AddJob(aRecord, kFence - 1);
+    std::vector<TargetInfo> roster(2);
+    roster[0].id_ = "t1";
+    roster[1].id_ = "t2";
+    scheduler_->LoadRoster(roster);
+    Register("t1");
+    Decide();
+    HoldAnswer answer = MakeHoldAnswer(std::move(aRunning));
+    answer.ended_ = std::move(aEnded);
+    scheduler_->OnHold("t1", answer);
+  }
+
+  static JobRecord TwoStepRecord()
+  {
+    JobRecord record = Record();
+    record.spec_.steps_.push_back(record.spec_.steps_[0]);
+    record.spec_.steps_[1].after_ = { 0 };
+    return record;
+  }
+
+  /// Returns how many runs follow, while t2 is silent, the failure of one that
+  /// t1 listed after a take-over.
+  std::size_t RestartsAfterATakeOver(bool aSpeculative)
+  {
+    JobRecord record = Record();
+    record.maxAttempts_ = 3;
+    record.spec_.steps_[0].speculative_ = aSpeculative;
+    TaskName task{ record.id_, 0, 0, 0 };
+    TakeOver({ { task, 5, "", 50, 0 } }, {}, record);
+    Step();
+    HoldAnswer answer = MakeHoldAnswer({});
+    answer.ended_.push_back({ 1, task, 5, RunEnd::Failed, "" });
+    scheduler_->OnHold("t1", answer);
+    return OrdersOf<TargetStart>(Step()).size();
+  }
+
   /// Lets one target leave all holds unanswered for aTime while the others
   /// answer. Returns the first starts that follow.
   std::vector<TargetStart> SilenceFor(const std::string& aTarget, Millis aTime)
@@ -845,6 +974,7 @@
 
   ManualClock clock_;
   bool savesSucceed_ = false; ///< saves of progress succeed
+  bool rosterSavesSucceed_ = true;
   ReportedRun firstRun_;
   std::unique_ptr<Scheduler> scheduler_;
 };
