A leader counts what may be stopping as unavailable, and stops little when in doubt

Causes found in the code: (1) a target lists a run that is being stopped as running until it has ended, up to StopMs; a successor counted such a run as up, and evacuated another one. (2) A leader whose authority is in doubt started and renewed nothing, but went on with evacuations and with stops that depend on what it believes of other runs. (3) Of two runs of a long-running task the first was kept, even if it was on a silent target and the second at work.

Changes: an adopted run counts as up only when a stop of an earlier leader would be over since its target has answered the new fence; evacuations need confirmed authority; in doubt, only runs of ended jobs are stopped; of several runs of a long-running task, one that is at work is kept.

Tests: three in SchedulerTest, each of which fails without its part.

--- a/include/coltsfootshed/Scheduling/Scheduler.h
+++ b/include/coltsfootshed/Scheduling/Scheduler.h
@@ -29,6 +29,7 @@
   /// takes over.
   Millis unconfirmedLease_{ 3000 };
   Millis longestLease_{ 10000 }; ///< targets shorten longer leases to this
+  Millis longestStop_{ 900 };    ///< from a stop order to the end of the run
   /// Factor by which a task takes longer on another rack than its data's.
   double remoteDataSlowdown_ = 1;
 };
@@ -301,6 +302,11 @@
   bool IsWanted(const TargetState& aTarget,
                 const RunKey& aRun,
                 const RunState& aState);
+  const RunState* FindRun(const TaskName& aTask, const LiveRun& aLive) const;
+  bool MayBeStopping(const TargetState& aTarget, const RunState& aRun) const;
+  bool IsAtWork(const TaskName& aTask, const LiveRun& aLive) const;
+  const LiveRun& RunToKeep(const TaskName& aTask,
+                           const TaskProgress& aProgress) const;
   void DecidePace(std::vector<SchedulerOrder>& aOrders);
 
   // Placement.
--- a/include/coltsfootshed/Scheduling/TargetState.h
+++ b/include/coltsfootshed/Scheduling/TargetState.h
@@ -27,6 +27,7 @@
   bool serves_ = false; ///< has a latency objective
   bool bestEffort_ = false;
   bool longRunning_ = false; ///< ends only when cancelled
+  bool adopted_ = false;     ///< an earlier scheduler started it
   std::string label_;        ///< label that its target must have; empty: any
   Millis latencyObjective_{ 0 };
   Millis estimate_{ 0 };
@@ -80,6 +81,7 @@
   /// The saved roster may name it: no save that omits it is confirmed.
   bool mayBeInRoster_ = false;
   bool held_ = false;          ///< has answered under this scheduler's fence
+  Millis heldSince_{ 0 };      ///< when it first did
   std::int64_t startedAt_ = 0; ///< incarnation that answered last; 0: none
   /// When the answer that gave clockRead_ arrived.
   Millis clockReadAt_{ 0 };
--- a/lib/Scheduling/Scheduler.cpp
+++ b/lib/Scheduling/Scheduler.cpp
@@ -321,7 +321,9 @@
     DropExpiredRuns();
     CheckReady();
   }
-  DecideEvacuations();
+  if (confirmed) {
+    DecideEvacuations();
+  }
   DecideStops(orders);
   DecidePace(orders);
   if (authority_ != Authority::Doubtful) {
--- a/lib/Scheduling/SchedulerHolds.cpp
+++ b/lib/Scheduling/SchedulerHolds.cpp
@@ -312,6 +312,7 @@
   aTarget.clockReadAt_ = now;
   if (!aTarget.held_) {
     aTarget.held_ = true;
+    aTarget.heldSince_ = now;
     // An earlier scheduler may have granted a lease until now.
     aTarget.leaseGranted_ = std::max(aTarget.leaseGranted_,
                                      aAnswer.clock_ + settings_.lease_.count());
@@ -527,6 +528,7 @@
   Job* job = FindJob(aRunning.task_.job_);
   TaskProgress* task = FindOrCreateTask(job, aRunning.task_);
   RunState run;
+  run.adopted_ = true;
   run.phase_ = RunPhase::Running;
   run.sentAt_ = clock_.Now();
   run.answeredAt_ = clock_.Now();
--- a/lib/Scheduling/SchedulerOrders.cpp
+++ b/lib/Scheduling/SchedulerOrders.cpp
@@ -16,6 +16,8 @@
 /// After a start without an answer, probes have this long to find the run
 /// before it is stopped.
 static constexpr Millis kUnansweredStartGrace{ 100 };
+/// Allowance for the delay of a target's answers.
+static constexpr Millis kStopMargin{ 200 };
 /// Runs of unknown jobs are not stopped for this long: a job may become known
 /// later than its runs.
 static constexpr Millis kUnknownJobGrace{ 3000 };
@@ -65,11 +67,16 @@
                          const RunState& aState)
 {
   Millis now = clock_.Now();
+  Job* job = FindJob(aRun.first.job_);
+  // A scheduler that may have been replaced does not know what its successor
+  // starts and stops, so it decides nothing that depends on other runs.
+  if (authority_ == Authority::Doubtful) {
+    return job == nullptr || !job->IsEnded();
+  }
   if (aState.phase_ == RunPhase::Unknown &&
       now - aState.answeredAt_ >= kUnansweredStartGrace) {
     return false;
   }
-  Job* job = FindJob(aRun.first.job_);
   if (job == nullptr) {
     return now - aState.sentAt_ < kUnknownJobGrace;
   }
@@ -94,10 +101,59 @@
   if (spec.speculative_ || task->liveRuns_.empty()) {
     return true;
   }
-  const LiveRun& kept = task->liveRuns_.front();
+  const LiveRun& kept =
+    spec.longRunning_ ? RunToKeep(aRun.first, *task) : task->liveRuns_.front();
   return kept.target_ == aTarget.info_.id_ && kept.run_ == aRun.second;
 }
 
+/// Returns the state of a run, or null if its target is not known, or does not
+/// answer, or has no such run.
+const RunState* Scheduler::FindRun(const TaskName& aTask,
+                                   const LiveRun& aLive) const
+{
+  auto target = targets_.find(aLive.target_);
+  if (target == targets_.end() || target->second.failedHolds_ > 0) {
+    return nullptr;
+  }
+  auto run = target->second.runs_.find({ aTask, aLive.run_ });
+  return run == target->second.runs_.end() ? nullptr : &run->second;
+}
+
+/// Returns true if an earlier scheduler may have stopped the run, which its
+/// target lists until it has ended. The target has taken no stop of an earlier
+/// scheduler since it first answered this one.
+bool Scheduler::MayBeStopping(const TargetState& aTarget,
+                              const RunState& aRun) const
+{
+  return aRun.adopted_ && clock_.Now() - aTarget.heldSince_ <
+                            settings_.longestStop_ + kStopMargin;
+}
+
+/// Returns true if a run is known to be up, and to stay so unless this
+/// scheduler stops it.
+bool Scheduler::IsAtWork(const TaskName& aTask, const LiveRun& aLive) const
+{
+  const RunState* run = FindRun(aTask, aLive);
+  return run != nullptr && run->phase_ == RunPhase::Running &&
+         run->percent_ >= kStartupDonePercent &&
+         !MayBeStopping(targets_.find(aLive.target_)->second, *run);
+}
+
+/// Returns which of several runs of a task continues: the first that is at
+/// work, or the first of all.
+const LiveRun& Scheduler::RunToKeep(const TaskName& aTask,
+                                    const TaskProgress& aProgress) const
+{
+  const std::vector<LiveRun>& live = aProgress.liveRuns_;
+  auto atWork =
+    std::find_if(live.begin(), live.end(), [&](const LiveRun& aRun) {
+      const RunState* run = FindRun(aTask, aRun);
+      return run != nullptr && run->phase_ == RunPhase::Running &&
+             run->percent_ >= kStartupDonePercent;
+    });
+  return atWork == live.end() ? live.front() : *atWork;
+}
+
 /// Returns how many tasks of aExcept's step, not counting aExcept, have no run
 /// that is known to be up.
 int Scheduler::TasksUnavailable(const Job& aJob, const TaskName& aExcept) const
@@ -113,17 +169,11 @@
     }
     TaskName name = aExcept;
     name.index_ = static_cast<int>(i);
-    bool available = false;
-    for (const LiveRun& live : step.tasks_[i].liveRuns_) {
-      auto target = targets_.find(live.target_);
-      if (target == targets_.end() || target->second.failedHolds_ > 0) {
-        continue;
-      }
-      auto run = target->second.runs_.find({ name, live.run_ });
-      available |= run != target->second.runs_.end() &&
-                   run->second.phase_ == RunPhase::Running &&
-                   run->second.percent_ >= kStartupDonePercent;
-    }
+    const std::vector<LiveRun>& live = step.tasks_[i].liveRuns_;
+    bool available =
+      std::any_of(live.begin(), live.end(), [&](const LiveRun& aRun) {
+        return IsAtWork(name, aRun);
+      });
     unavailable += available ? 0 : 1;
   }
   return unavailable;
@@ -142,7 +192,7 @@
       bool candidate = run.longRunning_ && run.phase_ == RunPhase::Running &&
                        !run.orderInFlight_ && job != nullptr &&
                        job->Find(key.first) != nullptr;
-      if (!candidate) {
+      if (!candidate || MayBeStopping(target, run)) {
         continue;
       }
       const StepSpec& spec = *job->SpecOf(key.first);
--- a/unittests/Scheduling/SchedulerTest.cpp
+++ b/unittests/Scheduling/SchedulerTest.cpp
@@ -24,6 +24,9 @@
   CPPUNIT_TEST(EndsAreAcknowledgedOnceSaved);
   CPPUNIT_TEST(CompletionIsShownOnceSaved);
   CPPUNIT_TEST(EvacuationKeepsAvailability);
+  CPPUNIT_TEST(ADoubtfulLeaderStopsOnlyRunsOfEndedJobs);
+  CPPUNIT_TEST(AdoptedRunsMayBeStoppingAtFirst);
+  CPPUNIT_TEST(OfTwoRunsTheOneAtWorkIsKept);
   CPPUNIT_TEST(BestEffortTasksAreSlowedDown);
   CPPUNIT_TEST(TicketsAreRequestedBeforeStarts);
   CPPUNIT_TEST(EndsOfAPredecessorsOccurrenceAreCounted);
@@ -256,6 +259,71 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), OrdersOf<TargetStop>(Step()).size());
   }
 
+  /// Finding AVAIL: a leader that had been replaced went on to stop
+  /// long-running tasks beside its successor, so that together they stopped too
+  /// many.
+  void ADoubtfulLeaderStopsOnlyRunsOfEndedJobs()
+  {
+    StartTwoLongRunning();
+    std::vector<std::string> vacating = { "t1" };
+    scheduler_->SetVacating(1, vacating);
+    scheduler_->SetAuthority(Authority::Doubtful);
+    CPPUNIT_ASSERT(OrdersOf<TargetStop>(Step()).empty());
+    scheduler_->CancelJob(Record().id_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), OrdersOf<TargetStop>(Step()).size());
+  }
+
+  /// A target lists a run that an earlier leader has stopped until it has
+  /// ended.
+  void AdoptedRunsMayBeStoppingAtFirst()
+  {
+    Register("t1");
+    Register("t2");
+    Decide();
+    scheduler_->AddJob(TwoLongRunningRecord(), kFence - 1);
+    std::vector<ReportedRun> runs = {
+      { { Record().id_, 0, 0, 0 }, 5, "", 100, 0 },
+      { { Record().id_, 0, 0, 1 }, 6, "", 100, 0 }
+    };
+    AnswerHold("t1", runs);
+    AnswerHold("t2", {});
+    std::vector<std::string> vacating = { "t1" };
+    scheduler_->SetVacating(1, vacating);
+    std::size_t stops = 0;
+    Millis end = clock_.Now() + SchedulerSettings().longestStop_;
+    while (clock_.Now() < end) {
+      clock_.Advance(Millis(50));
+      Orders orders = Decide();
+      stops += OrdersOf<TargetStop>(orders).size();
+      for (const TargetHold& hold : OrdersOf<TargetHold>(orders)) {
+        Answer(hold,
+               MakeHoldAnswer(
+                 hold.target_ == "t1" ? runs : std::vector<ReportedRun>()));
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), stops);
+    clock_.Advance(Millis(500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), OrdersOf<TargetStop>(Decide()).size());
+  }
+
+  /// The first run of a task may be on a target that does not answer; stopping
+  /// the second would end a task that is at work.
+  void OfTwoRunsTheOneAtWorkIsKept()
+  {
+    Register("t1");
+    Register("t2");
+    Decide();
+    JobRecord record = TwoLongRunningRecord();
+    record.spec_.steps_[0].tasks_ = 1;
+    scheduler_->AddJob(record, kFence - 1);
+    TaskName task{ record.id_, 0, 0, 0 };
+    AnswerHold("t1", { { task, 5, "", 10, 0 } });
+    AnswerHold("t2", { { task, 6, "", 100, 0 } });
+    auto stops = OrdersOf<TargetStop>(Step());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), stops.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("t1"), stops[0].target_);
+  }
+
   void BestEffortTasksAreSlowedDown()
   {
     Register("t1");
@@ -897,6 +965,34 @@
     scheduler_->OnHold("t1", answer);
   }
 
+  static JobRecord TwoLongRunningRecord()
+  {
+    JobRecord record = Record();
+    record.spec_.steps_[0].tasks_ = 2;
+    record.spec_.steps_[0].longRunning_ = true;
+    record.spec_.steps_[0].maxUnavailableTasks_ = 1;
+    return record;
+  }
+
+  /// Starts two long-running tasks on t1, which are at work, beside an empty
+  /// t2.
+  void StartTwoLongRunning()
+  {
+    Register("t1");
+    Decide();
+    AnswerHold("t1", {});
+    scheduler_->AddJob(TwoLongRunningRecord(), kFence + 1);
+    std::vector<ReportedRun> runs;
+    for (const TargetStart& start : OrdersOf<TargetStart>(Step())) {
+      AcknowledgeStart(start);
+      runs.push_back({ start.order_.task_, start.order_.run_, "", 100, 0 });
+    }
+    Register("t2");
+    Step();
+    AnswerHold("t1", runs);
+    AnswerHold("t2", {});
+  }
+
   static JobRecord TwoStepRecord()
   {
     JobRecord record = Record();
