Say how many jobs wait only where all of them are known

Cause found in the code: a leader answered with what it had loaded, whether or not it may have been replaced and however old its list of jobs was.

Changes: a leader counts waiting jobs only if its authority is confirmed and its list is no older than a job may take to be visible, or if no VM reaches the store, so that none can accept a job. Else the answer is 503 with Retry-After, and a log line. Authority is read at each decision, not at the last check: after a freeze an event could be handled before that check.

--- a/include/coltsfootshed/Node/LeaderRpc.h
+++ b/include/coltsfootshed/Node/LeaderRpc.h
@@ -24,10 +24,13 @@
   /// Returns the leader of a service in this process, or null.
   using FindLocal = std::function<ServiceLeader*(std::string_view)>;
 
+  /// A leader counts the waiting jobs of a queue only if it knows all jobs that
+  /// were accepted longer than aMaxJobsAge ago.
   LeaderRpc(event_base* aBase,
             const Clock& aClock,
             const LeaderElection& aElection,
-            FindLocal aFindLocal);
+            FindLocal aFindLocal,
+            Millis aMaxJobsAge);
 
   /// Tells the leader of the job's service about a job that is already in the
   /// store. The call may get lost: the leader also finds the job by its watch.
@@ -62,6 +65,7 @@
 
   const LeaderElection& election_;
   FindLocal findLocal_;
+  Millis maxJobsAge_;
   HttpClient httpClient_;
 };
 
--- a/include/coltsfootshed/Node/NodeSettings.h
+++ b/include/coltsfootshed/Node/NodeSettings.h
@@ -23,6 +23,9 @@
   Millis minLease_{ 1000 };            ///< shortest lease that the store grants
   Millis stopGrace_{ 6000 };           ///< from stop signal to kill
   Millis longestTargetLease_{ 10000 }; ///< longest lease that a target grants
+  Millis longestStop_{ 900 }; ///< from a stop order to the end of the run
+  /// From the acceptance of a job until every VM must know it.
+  Millis jobVisibilityDeadline_{ 3000 };
   Millis endedJobRetention_{ 120000 }; ///< how long an ended job can be queried
   /// Within this time, two pool managers must not both order the same VM.
   Millis vmHolderLease_{ 3000 };
--- a/include/coltsfootshed/Node/ServiceLeader.h
+++ b/include/coltsfootshed/Node/ServiceLeader.h
@@ -21,6 +21,8 @@
     KeyValueStore& store_;
     TargetCalls& targets_;
     AdviceCalls* advice_ = nullptr; ///< null: not configured
+    /// Returns how certain it is, now, that this leader has not been replaced.
+    std::function<Authority()> authority_;
   };
   struct Options
   {
@@ -28,6 +30,7 @@
     Fence fence_ = 0;              ///< revision of the leader's key
     Millis lease_{ 5000 };         ///< granted to runs
     Millis longestLease_{ 10000 }; ///< longest lease that a target grants
+    Millis longestStop_{ 900 };    ///< from a stop order to the end of the run
     /// How long an ended job can be queried.
     Millis endedJobRetention_{ 120000 };
     Millis longestWatch_{ 1000 };   ///< wait of a watch for events
@@ -50,12 +53,16 @@
   void CancelJob(std::string_view aJob);
   void RegisterTarget(const TargetInfo& aTarget);
   void UnregisterTarget(const std::string& aId);
-  void SetAuthority(Authority aAuthority);
+  /// Decides again soon, as its authority may have changed.
+  void OnAuthorityChecked() { ScheduleDecision(); }
   /// Sets the targets that must get no new runs, as the pool manager with the
   /// fence aManagerFence says. Returns false, and changes nothing, if a manager
   /// with a higher fence has called before.
   bool SetVacating(Fence aManagerFence, std::span<const std::string> aTargets);
 
+  /// Returns true if it knows all jobs that were accepted longer than aMaxAge
+  /// ago, and no other leader can have started some of them.
+  bool KnowsJobs(Millis aMaxAge) const;
   /// Returns true once the saved state is loaded.
   bool IsLoaded() const { return loaded_; }
   const Scheduler& State() const { return scheduler_; }
--- a/include/coltsfootshed/Node/StoreOutageDetector.h
+++ b/include/coltsfootshed/Node/StoreOutageDetector.h
@@ -13,19 +13,20 @@
 class StoreOutageDetector
 {
 public:
-  /// Called at each check with how certain the leaders of this VM can be that
-  /// they have not been replaced.
-  using OnAuthority = std::function<void(Authority)>;
-
+  /// aOnChecked is called at each check, after which CurrentAuthority() may
+  /// differ.
   StoreOutageDetector(event_base* aBase,
                       const Clock& aClock,
                       const LeaderElection& aElection,
                       std::string aNode,
-                      OnAuthority aOnAuthority);
+                      std::function<void()> aOnChecked);
 
   /// Returns whether this VM reaches the store; also the answer to another VM's
   /// request for kPath.
   bool ReachesStore() const;
+  /// Returns how certain the leaders of this VM can be, now, that they have not
+  /// been replaced.
+  Authority CurrentAuthority() const;
   /// Returns whether this VM has reached the store for the last aDuration.
   bool HasReachedStoreFor(Millis aDuration) const;
 
@@ -36,12 +37,11 @@
 private:
   void Tick();
   void Ask();
-  Authority CurrentAuthority() const;
 
   const Clock& clock_;
   const LeaderElection& election_;
   std::string node_;
-  OnAuthority onAuthority_;
+  std::function<void()> onChecked_;
   HttpClient httpClient_;
   Timer timer_;
   Millis unreachedAt_; ///< the last check at which the store was not reached
--- a/lib/Node/JobApi.cpp
+++ b/lib/Node/JobApi.cpp
@@ -360,7 +360,12 @@
   leaderRpc_.AskWaiting(
     aQueue.service_,
     aQueue.name_,
-    [this, aExchange](const Result<int>& aWaiting) {
+    [this, aExchange, queue = aQueue.name_](const Result<int>& aWaiting) {
+      if (!aWaiting) {
+        LogDecision(
+          "waiting-unknown",
+          { { "queue", queue }, { "error", aWaiting.error().Text() } });
+      }
       aExchange->Reply(aWaiting
                          ? JsonAnswer(200, format_.writeWaiting_(*aWaiting))
                          : Unavailable());
--- a/lib/Node/JobsNode.cpp
+++ b/lib/Node/JobsNode.cpp
@@ -55,14 +55,15 @@
       dependencies_.base_,
       dependencies_.clock_,
       election_,
-      [this](std::string_view aService) { return FindLeader(aService); })
+      [this](std::string_view aService) { return FindLeader(aService); },
+      settings_.jobVisibilityDeadline_)
   , outageDetector_(dependencies_.base_,
                     dependencies_.clock_,
                     election_,
                     settings_.node_,
-                    [this](Authority aAuthority) {
+                    [this] {
                       for (auto& [service, leader] : leaders_) {
-                        leader->SetAuthority(aAuthority);
+                        leader->OnAuthorityChecked();
                       }
                     })
   , configReader_(dependencies_.clock_,
@@ -249,14 +250,20 @@
     return;
   }
   ServiceLeader::Dependencies dependencies{
-    dependencies_.base_,  dependencies_.clock_,   dependencies_.wallClock_,
-    dependencies_.store_, dependencies_.targets_, dependencies_.advice_
+    dependencies_.base_,
+    dependencies_.clock_,
+    dependencies_.wallClock_,
+    dependencies_.store_,
+    dependencies_.targets_,
+    dependencies_.advice_,
+    [this] { return outageDetector_.CurrentAuthority(); }
   };
   ServiceLeader::Options options;
   options.service_ = aDuty;
   options.fence_ = aRevision;
   options.lease_ = std::min(kRunLease, settings_.longestTargetLease_ / 2);
   options.longestLease_ = settings_.longestTargetLease_;
+  options.longestStop_ = settings_.longestStop_;
   options.endedJobRetention_ = settings_.endedJobRetention_;
   options.longestWatch_ = timeouts_.watch_;
   options.remoteDataSlowdown_ = settings_.remoteDataSlowdown_;
--- a/lib/Node/LeaderRpc.cpp
+++ b/lib/Node/LeaderRpc.cpp
@@ -29,9 +29,11 @@
 LeaderRpc::LeaderRpc(event_base* aBase,
                      const Clock& aClock,
                      const LeaderElection& aElection,
-                     FindLocal aFindLocal)
+                     FindLocal aFindLocal,
+                     Millis aMaxJobsAge)
   : election_(aElection)
   , findLocal_(std::move(aFindLocal))
+  , maxJobsAge_(aMaxJobsAge)
   , httpClient_(aBase, aClock, kIdleConnections)
 {
 }
@@ -150,8 +152,13 @@
                            std::function<void(Result<int>)> aOnAnswer)
 {
   const ServiceLeader* local = findLocal_(aService);
-  if (local != nullptr && local->IsLoaded()) {
-    aOnAnswer(local->State().Waiting(aQueue));
+  if (local != nullptr) {
+    if (local->KnowsJobs(maxJobsAge_)) {
+      aOnAnswer(local->State().Waiting(aQueue));
+    } else {
+      aOnAnswer(Fail(
+        "count waiting jobs", aService, "this leader may lack some of them"));
+    }
     return;
   }
   Call(
@@ -297,6 +304,9 @@
                  : HttpAnswer{ kNotFound, {}, {} };
   }
   if (path == kWaitingPath) {
+    if (!local->KnowsJobs(maxJobsAge_)) {
+      return { kNotLeader, {}, {} };
+    }
     int waiting = local->State().Waiting(QueryValue(aRequest.target_, "queue"));
     return { kOk, {}, std::to_string(waiting) };
   }
--- a/lib/Node/ServiceLeader.cpp
+++ b/lib/Node/ServiceLeader.cpp
@@ -61,6 +61,7 @@
   settings.fence_ = aOptions.fence_;
   settings.lease_ = aOptions.lease_;
   settings.longestLease_ = aOptions.longestLease_;
+  settings.longestStop_ = aOptions.longestStop_;
   settings.remoteDataSlowdown_ = aOptions.remoteDataSlowdown_;
   return settings;
 }
@@ -248,10 +249,19 @@
   ScheduleDecision();
 }
 
-void ServiceLeader::SetAuthority(Authority aAuthority)
+bool ServiceLeader::KnowsJobs(Millis aMaxAge) const
 {
-  scheduler_.SetAuthority(aAuthority);
-  ScheduleDecision();
+  if (!loaded_) {
+    return false;
+  }
+  switch (dependencies_.authority_()) {
+    case Authority::Confirmed:
+      return work_->Age() <= aMaxAge;
+    case Authority::StoreUnreachable:
+      return true; // no VM can accept a job
+    default:
+      return false;
+  }
 }
 
 bool ServiceLeader::SetVacating(Fence aManagerFence,
@@ -277,6 +287,9 @@
     return;
   }
   deciding_ = true;
+  // Read at each decision: after a freeze of this VM, the last check may be
+  // old.
+  scheduler_.SetAuthority(dependencies_.authority_());
   std::vector<SchedulerOrder> orders = scheduler_.Decide();
   for (SchedulerOrder& order : orders) {
     Execute(order);
--- a/lib/Node/StoreOutageDetector.cpp
+++ b/lib/Node/StoreOutageDetector.cpp
@@ -16,11 +16,11 @@
                                          const Clock& aClock,
                                          const LeaderElection& aElection,
                                          std::string aNode,
-                                         OnAuthority aOnAuthority)
+                                         std::function<void()> aOnChecked)
   : clock_(aClock)
   , election_(aElection)
   , node_(std::move(aNode))
-  , onAuthority_(std::move(aOnAuthority))
+  , onChecked_(std::move(aOnChecked))
   , httpClient_(aBase, aClock, 1)
   , timer_(aBase, [this] { Tick(); })
   , unreachedAt_(aClock.Now())
@@ -45,7 +45,7 @@
     unreachedAt_ = clock_.Now();
     Ask();
   }
-  onAuthority_(CurrentAuthority());
+  onChecked_();
 }
 
 void StoreOutageDetector::Ask()
--- a/unittests/Node/JobsNodeTest.cpp
+++ b/unittests/Node/JobsNodeTest.cpp
@@ -64,6 +64,8 @@
   CPPUNIT_TEST(KnownQueueIsRefusedIfOnlyItsConfigurationIsOld);
   CPPUNIT_TEST(JobIsNotAcceptedWithAnOldConfiguration);
   CPPUNIT_TEST(MalformedJobsAreRejected);
+  CPPUNIT_TEST(WaitingJobsAreNotCountedWithOldKnowledge);
+  CPPUNIT_TEST(WaitingJobsAreNotCountedByALeaderThatMayBeReplaced);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr Millis kConfigDeadline{ 2000 };
@@ -154,6 +156,30 @@
     CPPUNIT_ASSERT_EQUAL(200, Call("GET", "/q/").code_);
   }
 
+  /// Finding MIXED: a client was told that no job waits, by a VM that could not
+  /// know. Here the leader's watch for jobs gets no answers.
+  void WaitingJobsAreNotCountedWithOldKnowledge()
+  {
+    Start(kNoContactTime);
+    store_->silentPrefix_ = keys::kWorkPrefix;
+    RunFor(NodeSettings().jobVisibilityDeadline_ + kMargin);
+    HttpAnswer answer = Call("GET", "/q/");
+    CPPUNIT_ASSERT_EQUAL(503, answer.code_);
+    CPPUNIT_ASSERT(FindHeader(answer.headers_, "Retry-After").has_value());
+  }
+
+  /// The store answers another VM, which may lead by now.
+  void WaitingJobsAreNotCountedByALeaderThatMayBeReplaced()
+  {
+    Start(kNoContactTime);
+    store_->Change(keys::Node("vm2"), R"({"peers":"127.0.0.1:9"})");
+    RunFor(kMargin);
+    CPPUNIT_ASSERT_EQUAL(200, Call("GET", "/q/").code_);
+    store_->silent_ = true;
+    RunFor(kConfigDeadline + kMargin);
+    CPPUNIT_ASSERT_EQUAL(503, Call("GET", "/q/").code_);
+  }
+
   /// The error in the answer quotes the body, which may not be UTF-8.
   void MalformedJobsAreRejected()
   {
