A decision no longer looks at ended jobs, at every run, or at every target in vain

Cause: a leader decides up to 200 times a second. Each decision looked up the job of every run on every target to see whether it is still wanted, went through all jobs including those that ended within two minutes, and, when the pool was full, asked every target again for each waiting step.

Change: runs are checked when one may have become unwanted, when a stop is due, and each 100 ms; decisions see only jobs that have not ended; what found no target is not tried again in the same decision; targets without uncertain runs or best-effort runs are not searched for them.

--- a/include/coltsfootshed/Scheduling/Scheduler.h
+++ b/include/coltsfootshed/Scheduling/Scheduler.h
@@ -254,6 +254,13 @@
     }
   };
 
+  /// What a task needs of its target.
+  struct Fit
+  {
+    Resources needs_;
+    std::string label_;
+  };
+
   /// Returns null if the job is not known.
   Job* FindJob(std::string_view aId);
   Millis LeaseToGrant() const;
@@ -299,6 +306,8 @@
   int TasksUnavailable(const Job& aJob, const TaskName& aExcept) const;
   bool HasRoomElsewhere(const StepSpec& aSpec, const TaskName& aStep) const;
   void DecideStops(std::vector<SchedulerOrder>& aOrders);
+  void DecideStopsOn(TargetState& aTarget,
+                     std::vector<SchedulerOrder>& aOrders);
   bool IsWanted(const TargetState& aTarget,
                 const RunKey& aRun,
                 const RunState& aState);
@@ -311,6 +320,7 @@
 
   // Placement.
   void DecideStarts(std::vector<SchedulerOrder>& aOrders);
+  void DropEndedJobs();
   std::vector<ReadyStep> ReadySteps();
   StepRank RankOf(const Job& aJob, const Occurrence& aOccurrence) const;
   Millis RemainingChain(const Job& aJob, const Occurrence& aOccurrence) const;
@@ -326,6 +336,7 @@
                             const TaskProgress& aTask,
                             std::span<const std::string> aSiblingTargets);
   bool MayStartOn(const TargetState& aTarget) const;
+  bool IsKnownNotToFit(const Fit& aFit) const;
   int RunsOfStep(const TargetState& aTarget, const TaskName& aStep) const;
   const Ticket* ValidTicket(const TaskName& aStep,
                             const std::string& aTarget) const;
@@ -356,6 +367,17 @@
   ChangeNumber change_ = 0;
   RunNumber nextRun_;
   std::map<std::string, std::unique_ptr<Job>, std::less<>> jobs_;
+  /// Jobs that have not ended, by id. Ended ones are kept for queries and are
+  /// many times as many; each decision looks only at these.
+  std::map<std::string_view, Job*> openJobs_;
+  /// What found no target in the current decision. Room only shrinks during a
+  /// decision, except where a gang that did not fit is taken back.
+  std::vector<Fit> unfit_;
+  /// A run may have become unwanted: all are to be checked.
+  bool checkAllRuns_ = true;
+  Millis runCheckAt_{ 0 }; ///< time of the next check of all runs
+  /// When a stop is due, or a run becomes unwanted as time passes.
+  Millis stopDueAt_{ Millis::max() };
   /// A job with unsaved changes.
   struct Unsaved
   {
--- a/include/coltsfootshed/Scheduling/TargetState.h
+++ b/include/coltsfootshed/Scheduling/TargetState.h
@@ -56,6 +56,7 @@
   {
   }
 
+  bool HasBestEffortRuns() const { return bestEffortRuns_ > 0; }
   /// Returns the capacity that runs leave free.
   Resources Free() const;
   void AddRun(const RunKey& aKey, const RunState& aRun);
@@ -104,6 +105,7 @@
   bool holdInFlight_ = false;
   Millis holdSentAt_{ 0 };
   Millis nextHoldAt_{ 0 };
+  bool mayHaveUncertainRuns_ = false; ///< see IsUncertain()
   bool probeInFlight_ = false; ///< beside a hold that waits on the target
   Millis probeSentAt_{ 0 };
   int failedHolds_ = 0; ///< consecutive
@@ -125,6 +127,7 @@
 
 private:
   Resources used_;
+  int bestEffortRuns_ = 0;
 };
 
 } // namespace coltsfootshed
--- a/lib/Scheduling/Scheduler.cpp
+++ b/lib/Scheduling/Scheduler.cpp
@@ -54,6 +54,7 @@
       { "fence", std::to_string(settings_.fence_) },
       { "authority", std::to_string(static_cast<int>(aAuthority)) } });
   authority_ = aAuthority;
+  checkAllRuns_ = true;
 }
 
 Millis Scheduler::LeaseToGrant() const
@@ -102,7 +103,8 @@
     arrivals_.Add(clock_.Now() - std::max(age, Millis(0)),
                   WorkOf(job->Record().spec_));
   }
-  jobs_.emplace(id, std::move(job));
+  auto added = jobs_.emplace(id, std::move(job)).first;
+  openJobs_.emplace(added->first, added->second.get());
   if (pendingCancels_.erase(id) > 0) {
     CancelJob(id);
   }
@@ -136,6 +138,7 @@
     return;
   }
   job->Cancel();
+  checkAllRuns_ = true;
   DropAdvice(aJob);
   MarkChanged(*job);
   LogDecision("job-cancelled", { { "job", std::string(aJob) } });
@@ -158,6 +161,7 @@
     return;
   }
   unsaved_.erase(found->first);
+  openJobs_.erase(found->first);
   jobs_.erase(found);
 }
 
@@ -180,7 +184,7 @@
 int Scheduler::Waiting(std::string_view aQueue) const
 {
   int waiting = 0;
-  for (const auto& [id, job] : jobs_) {
+  for (const auto& [id, job] : openJobs_) {
     bool counts = job->Record().queue_ == aQueue && !job->IsPeriodic() &&
                   job->State() == JobState::Queued;
     waiting += counts ? 1 : 0;
@@ -244,7 +248,7 @@
     report.targets_.push_back(std::move(use));
   }
   report.arrivingCpu_ = arrivals_.ExpectedRate(clock_.Now());
-  for (const auto& [id, job] : jobs_) {
+  for (const auto& [id, job] : openJobs_) {
     if (!job->IsEnded()) {
       AddWaiting(*job, report);
     }
@@ -317,6 +321,7 @@
   // that looks expired here.
   bool confirmed = authority_ == Authority::Confirmed;
   nextDue_ = clock_.Now() + kMaxDecidePause;
+  DropEndedJobs();
   if (confirmed) {
     DropExpiredRuns();
     CheckReady();
@@ -335,6 +340,13 @@
   return orders;
 }
 
+/// Leaves the jobs that have ended out of all further decisions.
+void Scheduler::DropEndedJobs()
+{
+  std::erase_if(openJobs_,
+                [](const auto& aEntry) { return aEntry.second->IsEnded(); });
+}
+
 /// Returns the jobs to save in one transaction: ended jobs first, as their
 /// clients wait for that, then those whose changes have waited longest.
 std::vector<std::string> Scheduler::NextToSave() const
--- a/lib/Scheduling/SchedulerEnds.cpp
+++ b/lib/Scheduling/SchedulerEnds.cpp
@@ -88,6 +88,9 @@
       MarkChanged(*job);
     }
   }
+  // Copies of the task, and what runs of a failed job, are of no use now.
+  checkAllRuns_ |= !task->liveRuns_.empty() ||
+                   (job->IsEnded() && job->State() != JobState::Complete);
   if (job->IsEnded()) {
     DropAdvice(job->Record().id_);
     LogDecision(
--- a/lib/Scheduling/SchedulerHolds.cpp
+++ b/lib/Scheduling/SchedulerHolds.cpp
@@ -157,10 +157,20 @@
 void Scheduler::DecideProbe(TargetState& aTarget,
                             std::vector<SchedulerOrder>& aOrders)
 {
+  if (!aTarget.mayHaveUncertainRuns_) {
+    return;
+  }
   bool uncertain = std::any_of(
     aTarget.runs_.begin(), aTarget.runs_.end(), [&](const auto& aEntry) {
       return IsUncertain(aTarget, aEntry.second);
     });
+  // A run that is being stopped may become uncertain later.
+  aTarget.mayHaveUncertainRuns_ =
+    uncertain ||
+    std::any_of(
+      aTarget.runs_.begin(), aTarget.runs_.end(), [](const auto& aEntry) {
+        return aEntry.second.phase_ == RunPhase::Stopping;
+      });
   if (!uncertain || aTarget.probeInFlight_ || !aTarget.held_) {
     return;
   }
@@ -413,6 +423,9 @@
 {
   aTarget.RemoveRun(aRun);
   Job* job = FindJob(aRun.first.job_);
+  const StepSpec* spec = job == nullptr ? nullptr : job->SpecOf(aRun.first);
+  // The other members of a gang are of no use alone.
+  checkAllRuns_ |= spec != nullptr && spec->gang_;
   TaskProgress* task = job == nullptr ? nullptr : job->Find(aRun.first);
   if (task != nullptr) {
     std::erase_if(task->liveRuns_, [&](const LiveRun& aLive) {
@@ -558,6 +571,7 @@
                 { "target", aTarget.info_.id_ },
                 { "known", task != nullptr ? "1" : "0" } });
   aTarget.AddRun({ aRunning.task_, aRunning.run_ }, run);
+  checkAllRuns_ = true;
 }
 
 /// Notes that a task was still running when this scheduler had taken over. All
--- a/lib/Scheduling/SchedulerOrders.cpp
+++ b/lib/Scheduling/SchedulerOrders.cpp
@@ -16,6 +16,8 @@
 /// After a start without an answer, probes have this long to find the run
 /// before it is stopped.
 static constexpr Millis kUnansweredStartGrace{ 100 };
+/// Longest time between two checks of all runs.
+static constexpr Millis kRunCheckInterval{ 100 };
 /// Allowance for the delay of a target's answers.
 static constexpr Millis kStopMargin{ 200 };
 /// Runs of unknown jobs are not stopped for this long: a job may become known
@@ -215,47 +217,70 @@
             std::to_string((clock_.Now() - target.lastAnswerAt_).count()) } });
       run.phase_ = RunPhase::Stopping;
       run.nextStopAt_ = clock_.Now();
+      target.mayHaveUncertainRuns_ = true;
+      checkAllRuns_ = true;
     }
   }
 }
 
+/// Stops runs that are not wanted. All runs are checked only when one may have
+/// become unwanted, and regularly: a service has thousands of runs, and decides
+/// hundreds of times a second.
 void Scheduler::DecideStops(std::vector<SchedulerOrder>& aOrders)
 {
   Millis now = clock_.Now();
+  bool isDue = checkAllRuns_ || now >= runCheckAt_ || now >= stopDueAt_;
+  if (!isDue) {
+    WakeBy(stopDueAt_);
+    return;
+  }
+  checkAllRuns_ = false;
+  runCheckAt_ = now + kRunCheckInterval;
+  stopDueAt_ = Millis::max();
   for (auto& [id, target] : targets_) {
-    for (auto& [key, run] : target.runs_) {
-      bool callInFlight =
-        run.phase_ == RunPhase::Starting || run.orderInFlight_;
-      if (callInFlight) {
-        continue;
-      }
-      if (run.phase_ != RunPhase::Stopping) {
-        if (IsWanted(target, key, run)) {
-          if (run.phase_ == RunPhase::Unknown) {
-            WakeBy(run.answeredAt_ + kUnansweredStartGrace);
-          }
-          continue;
+    DecideStopsOn(target, aOrders);
+  }
+  WakeBy(stopDueAt_);
+}
+
+void Scheduler::DecideStopsOn(TargetState& aTarget,
+                              std::vector<SchedulerOrder>& aOrders)
+{
+  Millis now = clock_.Now();
+  const std::string& id = aTarget.info_.id_;
+  for (auto& [key, run] : aTarget.runs_) {
+    bool callInFlight = run.phase_ == RunPhase::Starting || run.orderInFlight_;
+    if (callInFlight) {
+      continue;
+    }
+    if (run.phase_ != RunPhase::Stopping) {
+      if (IsWanted(aTarget, key, run)) {
+        if (run.phase_ == RunPhase::Unknown) {
+          stopDueAt_ =
+            std::min(stopDueAt_, run.answeredAt_ + kUnansweredStartGrace);
         }
-        // A run whose start was never answered may not exist on the target.
-        run.answeredAt_ =
-          run.phase_ == RunPhase::Unknown ? Millis(0) : run.answeredAt_;
-        run.phase_ = RunPhase::Stopping;
-        run.nextStopAt_ = now;
-        LogDecision("run-stop",
-                    { { "task", key.first.Text() },
-                      { "run", std::to_string(key.second) },
-                      { "target", id } });
-      } else if (run.nextStopAt_ == Millis::max()) {
-        continue; // the target has confirmed the stop
-      }
-      if (now < run.nextStopAt_) {
-        WakeBy(run.nextStopAt_);
         continue;
       }
-      run.orderInFlight_ = true;
-      aOrders.emplace_back(
-        TargetStop{ id, { key.first, key.second, settings_.fence_ } });
+      // A run whose start was never answered may not exist on the target.
+      run.answeredAt_ =
+        run.phase_ == RunPhase::Unknown ? Millis(0) : run.answeredAt_;
+      run.phase_ = RunPhase::Stopping;
+      run.nextStopAt_ = now;
+      aTarget.mayHaveUncertainRuns_ = true;
+      LogDecision("run-stop",
+                  { { "task", key.first.Text() },
+                    { "run", std::to_string(key.second) },
+                    { "target", id } });
+    } else if (run.nextStopAt_ == Millis::max()) {
+      continue; // the target has confirmed the stop
+    }
+    if (now < run.nextStopAt_) {
+      stopDueAt_ = std::min(stopDueAt_, run.nextStopAt_);
+      continue;
     }
+    run.orderInFlight_ = true;
+    aOrders.emplace_back(
+      TargetStop{ id, { key.first, key.second, settings_.fence_ } });
   }
 }
 
@@ -321,6 +346,7 @@
     ReduceSuspicion(target, run->sentAt_);
     if (Job* job = FindJob(aRun.first.job_)) {
       job->Begin();
+      checkAllRuns_ |= job->IsEnded();
     }
     // Send a hold that waits: it renews the lease and reports the end.
     target.nextHoldAt_ = std::min(target.nextHoldAt_, now);
@@ -330,6 +356,8 @@
   if (aAnswer.end_ == OrderEnd::NoAnswer) {
     run->phase_ = RunPhase::Unknown;
     run->answeredAt_ = now;
+    target.mayHaveUncertainRuns_ = true;
+    checkAllRuns_ = true;
     Suspect(target, run->sentAt_);
     target.nextHoldAt_ = now;
     WakeBy(now);
@@ -393,6 +421,7 @@
   run->orderInFlight_ = false;
   if (aAnswer.end_ != OrderEnd::Done) {
     run->nextStopAt_ = now + kStopRetry;
+    stopDueAt_ = std::min(stopDueAt_, run->nextStopAt_);
     WakeBy(run->nextStopAt_);
     return;
   }
@@ -459,6 +488,9 @@
 {
   Millis now = clock_.Now();
   for (auto& [id, target] : targets_) {
+    if (!target.HasBestEffortRuns()) {
+      continue;
+    }
     double worstRatio = WorstTailRatio(target);
     for (auto& [key, run] : target.runs_) {
       bool mayPace = run.bestEffort_ && run.phase_ == RunPhase::Running &&
--- a/lib/Scheduling/SchedulerPlacement.cpp
+++ b/lib/Scheduling/SchedulerPlacement.cpp
@@ -211,7 +211,7 @@
 {
   std::vector<ReadyStep> ready;
   Millis unixTime = wallClock_.Now();
-  for (auto& [id, job] : jobs_) {
+  for (auto& [id, job] : openJobs_) {
     if (job->IsEnded() || job->isProgressUnreadable_) {
       continue;
     }
@@ -236,6 +236,7 @@
 {
   // Due times, overdue runs and expired pauses cause no event.
   WakeBy(clock_.Now() + Millis(200));
+  unfit_.clear();
   for (const ReadyStep& step : ReadySteps()) {
     if (step.job_->Record()
           .spec_.steps_[static_cast<std::size_t>(step.step_)]
@@ -321,6 +322,19 @@
                      [&](const auto& aEntry) { return aEntry.second.*aFlag; });
 }
 
+/// Returns true if a task with the same or smaller needs found no target in this
+/// decision. Designed for an overloaded pool: hundreds of waiting steps need not
+/// look at each of its targets.
+bool Scheduler::IsKnownNotToFit(const Fit& aFit) const
+{
+  return std::any_of(unfit_.begin(), unfit_.end(), [&](const Fit& aUnfit) {
+    return aUnfit.label_ == aFit.label_ &&
+           aUnfit.needs_.cpu_ <= aFit.needs_.cpu_ &&
+           aUnfit.needs_.memory_ <= aFit.needs_.memory_ &&
+           aUnfit.needs_.gpu_ <= aFit.needs_.gpu_;
+  });
+}
+
 /// Returns the target of least cost on which the task may start, or null. Runs
 /// of its step exist or are about to start on aSiblingTargets.
 TargetState* Scheduler::ChooseTarget(
@@ -337,12 +351,17 @@
   if (spec.bestEffort_) {
     needs.cpu_ = 0;
   }
+  if (IsKnownNotToFit({ needs, spec.label_ })) {
+    return nullptr;
+  }
+  bool anyFits = false;
   TargetState* best = nullptr;
   double bestCost = std::numeric_limits<double>::max();
   for (auto& [id, target] : targets_) {
     Resources free = target.Free();
     bool fits = MayStartOn(target) && needs.FitsInto(free) &&
                 (spec.label_.empty() || target.HasLabel(spec.label_));
+    anyFits |= fits;
     if (!fits || (record.needsTickets_ && ValidTicket(name, id) == nullptr)) {
       continue;
     }
@@ -408,6 +427,9 @@
       bestCost = cost;
     }
   }
+  if (!anyFits) {
+    unfit_.push_back({ needs, spec.label_ });
+  }
   return best;
 }
 
@@ -530,6 +552,7 @@
         DropRun(targets_.find(start.target_)->second,
                 { start.order_.task_, run });
       }
+      unfit_.clear();
       if (aStep.job_->Record().needsTickets_) {
         AskForAdvice(aStep, aOrders);
       }
--- a/lib/Scheduling/TargetState.cpp
+++ b/lib/Scheduling/TargetState.cpp
@@ -31,6 +31,7 @@
 void TargetState::AddRun(const RunKey& aKey, const RunState& aRun)
 {
   used_ += RoomTaken(aRun);
+  bestEffortRuns_ += aRun.bestEffort_ ? 1 : 0;
   bool added = runs_.emplace(aKey, aRun).second;
   assert(added && "run numbers are never used twice");
   (void)added;
@@ -41,6 +42,7 @@
   auto found = runs_.find(aKey);
   if (found != runs_.end()) {
     used_ -= RoomTaken(found->second);
+    bestEffortRuns_ -= found->second.bestEffort_ ? 1 : 0;
     runs_.erase(found);
   }
 }
