--- a/lib/Scheduling/SchedulerPlacement.cpp
+++ b/lib/Scheduling/SchedulerPlacement.cpp
@@ -322,9 +322,9 @@
                      [&](const auto& aEntry) { return aEntry.second.*aFlag; });
 }
 
-/// Returns true if a task with the same or smaller needs found no target in this
-/// decision. Designed for an overloaded pool: hundreds of waiting steps need not
-/// look at each of its targets.
+/// Returns true if a task with the same or smaller needs found no target in
+/// this decision. Designed for an overloaded pool: hundreds of waiting steps
+/// need not look at each of its targets.
 bool Scheduler::IsKnownNotToFit(const Fit& aFit) const
 {
   return std::any_of(unfit_.begin(), unfit_.end(), [&](const Fit& aUnfit) {
