A leader's decisions take at most a fifth of its time

Cause: with a backlog, each event led to a decision 4 ms later, whatever a decision takes; ranking hundreds of waiting jobs 200 times a second left no time to send the orders.

Change: the delay is four times what the last decision took, 4 to 40 ms; a histogram decision_ms shows it. Test: SlowDecisionsLeaveTimeForOrders (with the fixed delay of 4 ms, decisions of 3 ms take 43 percent of the time).

--- a/include/coltsfootshed/Node/ServiceLeader.h
+++ b/include/coltsfootshed/Node/ServiceLeader.h
@@ -4,6 +4,7 @@
 #ifndef COLTSFOOTSHED_NODE_SERVICELEADER_H
 #define COLTSFOOTSHED_NODE_SERVICELEADER_H
 
+#include "coltsfootshed/Node/DecisionPacing.h"
 #include "coltsfootshed/Scheduling/Scheduler.h"
 #include "coltsfootshed/Store/PrefixFollower.h"
 #include "coltsfootshed/Support/AliveGuard.h"
@@ -110,6 +111,7 @@
   std::function<void()> retryStep_;
   bool loaded_ = false;
   bool decisionScheduled_ = false;
+  Millis decisionDelay_ = DecisionDelayAfter(Millis(0));
   bool deciding_ = false;
   bool steppedDown_ = false;
   Revision rosterRevision_ = 0;
--- a/lib/Node/ServiceLeader.cpp
+++ b/lib/Node/ServiceLeader.cpp
@@ -9,9 +9,6 @@
 
 namespace coltsfootshed {
 
-/// Delay of a decision after an event, so that one decision covers events that
-/// come close together.
-static constexpr Millis kDecisionDelay{ 4 };
 static constexpr Millis kLoadRetryDelay{ 100 };
 /// Pause between watches for jobs and cancel marks. It may be long, as they are
 /// also announced directly.
@@ -276,7 +273,7 @@
 {
   if (!decisionScheduled_ && loaded_ && !deciding_) {
     decisionScheduled_ = true;
-    decisionTimer_.Start(kDecisionDelay);
+    decisionTimer_.Start(decisionDelay_);
   }
 }
 
@@ -290,13 +287,17 @@
   // Read at each decision: after a freeze of this VM, the last check may be
   // old.
   scheduler_.SetAuthority(dependencies_.authority_());
+  Millis start = dependencies_.clock_.Now();
   std::vector<SchedulerOrder> orders = scheduler_.Decide();
+  Millis took = dependencies_.clock_.Now() - start;
+  decisionDelay_ = DecisionDelayAfter(took);
+  Observe("decision_ms", took);
   for (SchedulerOrder& order : orders) {
     Execute(order);
   }
   deciding_ = false;
   Millis pause = scheduler_.NextDue() - dependencies_.clock_.Now();
-  decisionTimer_.Start(std::max(pause, kDecisionDelay));
+  decisionTimer_.Start(std::max(pause, decisionDelay_));
 }
 
 void ServiceLeader::Execute(SchedulerOrder& aOrder)
--- a/unittests/Node/ServiceLeaderTest.cpp
+++ b/unittests/Node/ServiceLeaderTest.cpp
@@ -67,6 +67,7 @@
   CPPUNIT_TEST(AConfirmedLeaderStartsJobs);
   CPPUNIT_TEST(AuthorityIsReadAtEachDecision);
   CPPUNIT_TEST(JobsAreKnownWhileTheyAreFollowed);
+  CPPUNIT_TEST(SlowDecisionsLeaveTimeForOrders);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -141,6 +142,24 @@
     CPPUNIT_ASSERT(leader_->KnowsJobs(kMaxAge));
   }
 
+  /// A replayed backlog: each event asks for a decision that takes as long.
+  void SlowDecisionsLeaveTimeForOrders()
+  {
+    CPPUNIT_ASSERT(DecisionDelayAfter(Millis(0)) == Millis(4));
+    for (int took : { 1, 3, 8 }) {
+      Millis now{ 0 };
+      Millis deciding{ 0 };
+      while (now < Millis(1000)) {
+        now += DecisionDelayAfter(Millis(took));
+        now += Millis(took);
+        deciding += Millis(took);
+      }
+      CPPUNIT_ASSERT(deciding * 5 <= now + 5 * Millis(took));
+    }
+    // A start waits for a part of the time that a task takes, at most.
+    CPPUNIT_ASSERT(DecisionDelayAfter(Millis(1000)) == Millis(40));
+  }
+
 private:
   void AddJob()
   {
