A run of a done task is no evidence after a take-over; unreadable members may lead

(1) A start that is carried out late can list a task as running that is done already; the steps behind it may have been started by the earlier leader, so it must not count as a task that was running at the take-over. (2) A VM whose member entry cannot be read is no longer a member, so it was not asked whether it reaches the store; a leader could take the store for unreachable by all. Now its authority is in doubt.

Tests: ARunOfADoneTaskIsNoEvidenceAfterATakeOver, AVmWithAnUnreadableEntryMayHaveReplacedTheLeader; both fail without the change.

--- a/include/coltsfootshed/Node/LeaderElection.h
+++ b/include/coltsfootshed/Node/LeaderElection.h
@@ -52,6 +52,9 @@
   std::optional<Endpoint> PeerEndpointOf(std::string_view aNode) const;
   /// Returns all known entry VMs, also this one, and where each serves others.
   std::vector<std::pair<std::string, Endpoint>> Members() const;
+  /// Returns false if the entry of some VM cannot be read, so that Members()
+  /// lacks it although it may lead.
+  bool KnowsAllMembers() const { return unreadableMembers_.empty(); }
   /// Returns false before the first lease and once the store has said that
   /// this VM's lease has ended.
   bool HasLease() const { return lease_ != 0; }
@@ -112,6 +115,7 @@
   bool leaving_ = false;
   std::set<std::string> duties_;
   std::map<std::string, Member, std::less<>> members_;
+  std::set<std::string, std::less<>> unreadableMembers_;
   std::map<std::string, Leadership, std::less<>> leaders_;
   /// Fence of each duty, as reported to onLeadership_; 0 if this VM does not
   /// lead it.
--- a/lib/Node/LeaderElection.cpp
+++ b/lib/Node/LeaderElection.cpp
@@ -241,6 +241,7 @@
   std::map<std::string, Leadership, std::less<>> before;
   std::swap(before, leaders_);
   members_.clear();
+  unreadableMembers_.clear();
   for (const StoreItem& item : aItems) {
     Apply(item);
   }
@@ -294,14 +295,18 @@
     LogStateChange("member-unreadable",
                    { { "vm", aNode }, { "error", member.error().Text() } });
     members_.erase(aNode);
+    unreadableMembers_.insert(aNode);
     return;
   }
+  unreadableMembers_.erase(aNode);
   members_[aNode] = std::move(*member);
 }
 
 void LeaderElection::Remove(std::string_view aKey)
 {
-  members_.erase(std::string(keys::SuffixAfter(aKey, keys::kNodePrefix)));
+  std::string node(keys::SuffixAfter(aKey, keys::kNodePrefix));
+  members_.erase(node);
+  unreadableMembers_.erase(node);
   std::string duty(keys::SuffixAfter(aKey, keys::kLeaderPrefix));
   if (!duty.empty()) {
     leaders_.erase(duty);
--- a/lib/Node/StoreOutageDetector.cpp
+++ b/lib/Node/StoreOutageDetector.cpp
@@ -86,7 +86,8 @@
       return aMember.first == node_ || (entry != storeUnreachableAt_.end() &&
                                         now - entry->second <= kAnswerLifetime);
     });
-  return noOtherReachesStore && election_.HasLease()
+  return noOtherReachesStore && election_.KnowsAllMembers() &&
+             election_.HasLease()
            ? Authority::StoreUnreachable
            : Authority::Doubtful;
 }
--- a/lib/Scheduling/SchedulerHolds.cpp
+++ b/lib/Scheduling/SchedulerHolds.cpp
@@ -563,7 +563,9 @@
     run.estimate_ = EstimateOf(spec);
     task->liveRuns_.push_back({ aTarget.info_.id_, aRunning.run_ });
     job->Begin();
-    NoteRunningAtTakeOver(*job, aRunning.task_);
+    if (!task->done_) {
+      NoteRunningAtTakeOver(*job, aRunning.task_);
+    }
   }
   LogDecision("run-adopted",
               { { "task", aRunning.task_.Text() },
--- a/unittests/Node/JobsNodeTest.cpp
+++ b/unittests/Node/JobsNodeTest.cpp
@@ -66,6 +66,7 @@
   CPPUNIT_TEST(MalformedJobsAreRejected);
   CPPUNIT_TEST(WaitingJobsAreNotCountedWithOldKnowledge);
   CPPUNIT_TEST(WaitingJobsAreNotCountedByALeaderThatMayBeReplaced);
+  CPPUNIT_TEST(AVmWithAnUnreadableEntryMayHaveReplacedTheLeader);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr Millis kConfigDeadline{ 2000 };
@@ -180,6 +181,16 @@
     CPPUNIT_ASSERT_EQUAL(503, Call("GET", "/q/").code_);
   }
 
+  void AVmWithAnUnreadableEntryMayHaveReplacedTheLeader()
+  {
+    Start(kNoContactTime);
+    store_->Change(keys::Node("vm2"), R"({"peers":7})");
+    RunFor(kMargin);
+    store_->silent_ = true;
+    RunFor(kConfigDeadline + kMargin);
+    CPPUNIT_ASSERT_EQUAL(503, Call("GET", "/q/").code_);
+  }
+
   /// The error in the answer quotes the body, which may not be UTF-8.
   void MalformedJobsAreRejected()
   {
--- a/unittests/Scheduling/SchedulerTest.cpp
+++ b/unittests/Scheduling/SchedulerTest.cpp
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(TargetsLeavingTheRosterGetNoStarts);
   CPPUNIT_TEST(StepsThatBecomeReadyAfterATakeOverDoNotWait);
   CPPUNIT_TEST(StepsThatMayHaveStartedBeforeATakeOverWait);
+  CPPUNIT_TEST(ARunOfADoneTaskIsNoEvidenceAfterATakeOver);
   CPPUNIT_TEST(ATaskSeenRunningAfterATakeOverIsRestarted);
   CPPUNIT_TEST(ASpeculativeTaskSeenRunningAfterATakeOverWaits);
   CPPUNIT_TEST(ATargetIsReportedAsInTheRosterUntilASaveOmitsIt);
@@ -149,6 +150,20 @@
     CPPUNIT_ASSERT(!SilenceFor("t2", Millis(6000)).empty());
   }
 
+  /// A start of the first step was carried out late, when the step was done and
+  /// the second may have been started on the silent target.
+  void ARunOfADoneTaskIsNoEvidenceAfterATakeOver()
+  {
+    JobRecord record = TwoStepRecord();
+    TaskName first{ record.id_, 0, 0, 0 };
+    Job saved(record, Millis(0), Millis(0));
+    saved.MarkDone(first);
+    scheduler_->AddJob(record, kFence - 1);
+    scheduler_->LoadProgress(record.id_, saved.EncodeProgress(), 5);
+    TakeOver({ { first, 5, "", 50, 0 } }, {}, record);
+    CPPUNIT_ASSERT(OrdersOf<TargetStart>(Step()).empty());
+  }
+
   /// A task has one run at a time, so none is on the silent target.
   void ATaskSeenRunningAfterATakeOverIsRestarted()
   {
