Do not read a task whose occurrence its end has dropped

Marking the last task of a periodic occurrence as done drops the occurrence; then looked at the task's other runs. They are looked at before now.

--- a/lib/Scheduling/SchedulerEnds.cpp
+++ b/lib/Scheduling/SchedulerEnds.cpp
@@ -61,6 +61,8 @@
   if (task == nullptr) {
     return;
   }
+  // Marking the task as done may drop its occurrence, and task with it.
+  bool hasOtherRuns = !task->liveRuns_.empty();
   const StepSpec& spec = *job->SpecOf(aEnd.task_);
   if (!aEnd.checkpoint_.empty()) {
     task->checkpoint_ = aEnd.checkpoint_;
@@ -89,8 +91,8 @@
     }
   }
   // Copies of the task, and what runs of a failed job, are of no use now.
-  checkAllRuns_ |= !task->liveRuns_.empty() ||
-                   (job->IsEnded() && job->State() != JobState::Complete);
+  checkAllRuns_ |=
+    hasOtherRuns || (job->IsEnded() && job->State() != JobState::Complete);
   if (job->IsEnded()) {
     DropAdvice(job->Record().id_);
     LogDecision(
