--- a/lib/Node/ServiceLeader.cpp
+++ b/lib/Node/ServiceLeader.cpp
@@ -66,7 +66,7 @@
 ServiceLeader::ServiceLeader(Dependencies aDependencies,
                              Options aOptions,
                              std::function<void()> aOnStepDown)
-  : dependencies_(aDependencies)
+  : dependencies_(std::move(aDependencies))
   , options_(std::move(aOptions))
   , onStepDown_(std::move(aOnStepDown))
   , scheduler_(dependencies_.clock_,
