--- a/include/coltsfootshed/Support/JsonReader.h
+++ b/include/coltsfootshed/Support/JsonReader.h
@@ -88,8 +88,8 @@
 /// non-empty array or object.
 bool FlagField(const Json& aObject, const char* aName);
 
-/// Returns a field, or aDefault if it is missing or null. Not for whole numbers,
-/// as the library converts those that do not fit.
+/// Returns a field, or aDefault if it is missing or null. Not for whole
+/// numbers, as the library converts those that do not fit.
 template<typename T>
 T Field(const Json& aObject, const char* aName, T aDefault)
 {
