--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -657,12 +657,21 @@
                         ([{"Name": spare, "EnforcesCapacity": False,
                            "Spare": True}] if spare else []), "Limits": {}})
         for number in range(nodes):
-            node = Node(self.record, self.folder, f"front-north-{number + 1}",
-                        self.store.http.port, self.cloud.http.port, status_s)
+            self.nodes.append(await self.start_node(
+                f"front-north-{number + 1}", status_s, keep_stderr))
+        return await until_ready(self.nodes)
+
+    async def start_node(self, name, status_s, keep_stderr):
+        """Starts a node; again with other ports if one was taken meanwhile."""
+        for _ in range(5):
+            node = Node(self.record, self.folder, name, self.store.http.port,
+                        self.cloud.http.port, status_s)
             node.keep_stderr = keep_stderr
-            self.nodes.append(node)
             await node.start()
-        return await until_ready(self.nodes)
+            await asyncio.sleep(0.2)
+            if node.process.returncode is None:
+                break
+        return node
 
     async def stop(self):
         for node in self.nodes:
