JobApi: a job whose record cannot be read is not denied

What callers saw: a cancel of such a job was answered 410, "no such job", though the job is stored and an entry VM of another version may be running it. A GET of it is answered 500.

Cause: the cancel used one path for "not stored" and "stored, but unreadable".

Change: the cancel is answered 500 as well. Test: JobsNodeTest AJobWithAnUnreadableRecordIsNotDenied, 410 before.

--- a/lib/Node/JobApi.cpp
+++ b/lib/Node/JobApi.cpp
@@ -410,9 +410,9 @@
 {
   auto record = DecodeRecord(aItem.value_);
   if (!record) {
-    LogDecision("cancel-no-job",
+    LogDecision("cancel-unreadable",
                 { { "job", aJob }, { "error", record.error().Text() } });
-    aExchange->Reply(JsonAnswer(410, "{}"));
+    aExchange->Reply(JsonAnswer(500, "{}"));
     return;
   }
   MarkCancelled(aExchange, record->service_, aJob);
--- a/unittests/Node/JobsNodeTest.cpp
+++ b/unittests/Node/JobsNodeTest.cpp
@@ -73,6 +73,7 @@
   CPPUNIT_TEST(AJobIsNotAcceptedAfterItsCancel);
   CPPUNIT_TEST(AJobStoredDuringItsCancelIsCancelled);
   CPPUNIT_TEST(ACancelThatIsNotStoredIsNotConfirmed);
+  CPPUNIT_TEST(AJobWithAnUnreadableRecordIsNotDenied);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr Millis kConfigDeadline{ 2000 };
@@ -266,6 +267,15 @@
     CPPUNIT_ASSERT(!IsStored(keys::Cancel(kJobId)));
   }
 
+  /// The job exists, and a later version may be able to read and run it.
+  void AJobWithAnUnreadableRecordIsNotDenied()
+  {
+    Start(kNoContactTime);
+    store_->Change(keys::Job(kJobId), R"({"id":7})");
+    CPPUNIT_ASSERT_EQUAL(500, Call("DELETE", kJobPath).code_);
+    CPPUNIT_ASSERT_EQUAL(500, Call("GET", kJobPath).code_);
+  }
+
 private:
   bool IsStored(const std::string& aKey) const
   {
