--- /dev/null
+++ b/unittests/Pools/PoolReportTest.cpp
@@ -0,0 +1,80 @@
+/// \file
+/// Tests the form in which entry VMs exchange pool reports.
+
+#include "coltsfootshed/Pools/PoolPlanner.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace coltsfootshed {
+
+class PoolReportTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(PoolReportTest);
+  CPPUNIT_TEST(AReportIsDecodedAsItWas);
+  CPPUNIT_TEST(ReportsOfEarlierVersionsAreDecoded);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  /// Finding LOST on hunt-5210-7: the manager was not told which targets the
+  /// saved roster names, and moved their VMs; a new leader then waited for
+  /// them.
+  void AReportIsDecodedAsItWas()
+  {
+    PoolReport report;
+    report.service_ = "s";
+    report.used_ = { 1000, 2000, 0 };
+    report.longRunning_ = { 300, 400, 0 };
+    report.waiting_ = { 50, 60, 0 };
+    report.byLabel_["a"] = { 7, 8, 0 };
+    report.byRack_["r"] = { 9, 10, 0 };
+    report.arrivingCpu_ = 11;
+    report.minVms_ = 12;
+    report.targets_.push_back({ "t1", 3, 2, false, true });
+    report.targets_.push_back({ "t2", 0, 0, true, true });
+    report.targets_.push_back({ "t3", 0, 0, true, false });
+
+    auto decoded = DecodeReport(EncodeReport(report));
+    CPPUNIT_ASSERT(decoded.has_value());
+    CPPUNIT_ASSERT_EQUAL(report.service_, decoded->service_);
+    CPPUNIT_ASSERT(AreEqual(report.used_, decoded->used_));
+    CPPUNIT_ASSERT(AreEqual(report.longRunning_, decoded->longRunning_));
+    CPPUNIT_ASSERT(AreEqual(report.waiting_, decoded->waiting_));
+    CPPUNIT_ASSERT(AreEqual(report.byLabel_["a"], decoded->byLabel_["a"]));
+    CPPUNIT_ASSERT(AreEqual(report.byRack_["r"], decoded->byRack_["r"]));
+    CPPUNIT_ASSERT_EQUAL(report.arrivingCpu_, decoded->arrivingCpu_);
+    CPPUNIT_ASSERT_EQUAL(report.minVms_, decoded->minVms_);
+    CPPUNIT_ASSERT_EQUAL(report.targets_.size(), decoded->targets_.size());
+    for (std::size_t i = 0; i < report.targets_.size(); ++i) {
+      const TargetUse& sent = report.targets_[i];
+      const TargetUse& received = decoded->targets_[i];
+      CPPUNIT_ASSERT_EQUAL(sent.target_, received.target_);
+      CPPUNIT_ASSERT_EQUAL(sent.runs_, received.runs_);
+      CPPUNIT_ASSERT_EQUAL(sent.longRunning_, received.longRunning_);
+      CPPUNIT_ASSERT_EQUAL(sent.vacating_, received.vacating_);
+      CPPUNIT_ASSERT_EQUAL(sent.inRoster_, received.inRoster_);
+    }
+  }
+
+  /// They do not say whether the roster names a target.
+  void ReportsOfEarlierVersionsAreDecoded()
+  {
+    auto report = DecodeReport(
+      R"({"service":"s","used":[1,2],"lasting":[0,0],"waiting":[0,0],
+          "labels":[],"racks":[],"arriving":0,"least":0,
+          "targets":[["t",1,0,true]]})");
+    CPPUNIT_ASSERT(report.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), report->targets_.size());
+    CPPUNIT_ASSERT(!report->targets_[0].inRoster_);
+  }
+
+private:
+  static bool AreEqual(const Resources& aLeft, const Resources& aRight)
+  {
+    return aLeft.cpu_ == aRight.cpu_ && aLeft.memory_ == aRight.memory_ &&
+           aLeft.gpu_ == aRight.gpu_;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PoolReportTest);
+
+} // namespace coltsfootshed
