--- a/lib/Pools/PoolReport.cpp
+++ b/lib/Pools/PoolReport.cpp
@@ -32,11 +32,8 @@
 {
   Json targets = Json::array();
   for (const TargetUse& use : aReport.targets_) {
-    targets.push_back({ use.target_,
-                        use.runs_,
-                        use.longRunning_,
-                        use.vacating_,
-                        use.inRoster_ });
+    targets.push_back(
+      { use.target_, use.runs_, use.longRunning_, use.vacating_ });
   }
   Json json = {
     { "service", aReport.service_ },
--- a/unittests/Pools/PoolReportTest.cpp
+++ b/unittests/Pools/PoolReportTest.cpp
@@ -15,9 +15,8 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  /// Finding LOST on hunt-5210-7: the manager was not told which targets the
-  /// saved roster names, and moved their VMs; a new leader then waited for
-  /// them.
+  /// A pool manager that is not told which targets the saved roster names moves
+  /// their VMs, and a new leader then waits for these targets.
   void AReportIsDecodedAsItWas()
   {
     PoolReport report;
