--- a/include/coltsfootshed/Store/Keys.h
+++ b/include/coltsfootshed/Store/Keys.h
@@ -29,9 +29,9 @@
 {
   return kJobPrefix + std::string(aId);
 }
-/// Key of a job's cancel mark; its value is the job's service. A job that is not
-/// stored when it is cancelled gets one too, and then cannot be stored while the
-/// mark exists.
+/// Key of a job's cancel mark; its value is the job's service. A job that is
+/// not stored when it is cancelled gets one too, and then cannot be stored
+/// while the mark exists.
 inline std::string Cancel(std::string_view aId)
 {
   return kCancelPrefix + std::string(aId);
