--- a/unittests/Scheduling/SchedulerTest.cpp
+++ b/unittests/Scheduling/SchedulerTest.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(EvacuationKeepsAvailability);
   CPPUNIT_TEST(ADoubtfulLeaderStopsOnlyRunsOfEndedJobs);
   CPPUNIT_TEST(AdoptedRunsMayBeStoppingAtFirst);
+  CPPUNIT_TEST(AdoptedRunsMayBeStoppingUntilALaterAnswer);
   CPPUNIT_TEST(OfTwoRunsTheOneAtWorkIsKept);
   CPPUNIT_TEST(BestEffortTasksAreSlowedDown);
   CPPUNIT_TEST(TicketsAreRequestedBeforeStarts);
@@ -321,6 +322,23 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), OrdersOf<TargetStop>(Decide()).size());
   }
 
+  /// Finding AVAIL on trouble-2 of psig-shed-large, suspected cause: the answer
+  /// that shows the end of an adopted run is late, or waits in a busy process.
+  void AdoptedRunsMayBeStoppingUntilALaterAnswer()
+  {
+    Register("t1");
+    Register("t2");
+    Decide();
+    scheduler_->AddJob(TwoLongRunningRecord(), kFence - 1);
+    AnswerHold("t1", { { { Record().id_, 0, 0, 0 }, 5, "", 100, 0 } });
+    AnswerHold("t2", { { { Record().id_, 0, 0, 1 }, 6, "", 100, 0 } });
+    Decide(); // sends the next holds, which are not answered
+    std::vector<std::string> vacating = { "t1" };
+    scheduler_->SetVacating(1, vacating);
+    clock_.Advance(SchedulerSettings().longestStop_ + Millis(500));
+    CPPUNIT_ASSERT(OrdersOf<TargetStop>(Decide()).empty());
+  }
+
   /// The first run of a task may be on a target that does not answer; stopping
   /// the second would end a task that is at work.
   void OfTwoRunsTheOneAtWorkIsKept()
