Scheduler: an adopted run counts as up only once a later answer lists it

It took adopted runs to be up once the longest stop time had passed, though no answer since then had listed them; the answer with their ends was still on its way, or waiting in a process that is short of processor time.

Each run now remembers when the last request was sent whose answer listed it, and counts as up only if that was after every stop of an earlier leader had ended. The delay by time stays, for targets whose clocks are slow.

--- a/include/coltsfootshed/Scheduling/Scheduler.h
+++ b/include/coltsfootshed/Scheduling/Scheduler.h
@@ -288,7 +288,9 @@
                         Millis aSentAt);
   void ApplyEnds(TargetState& aTarget, const HoldAnswer& aAnswer);
   void ApplyEnd(TargetState& aTarget, const EndedRun& aEnd);
-  void ApplyRunning(TargetState& aTarget, const HoldAnswer& aAnswer);
+  void ApplyRunning(TargetState& aTarget,
+                    const HoldAnswer& aAnswer,
+                    Millis aSentAt);
   TaskProgress* FindOrCreateTask(Job* aJob, const TaskName& aTask);
   void Adopt(TargetState& aTarget, const ReportedRun& aRunning);
   static void NoteRunningAtTakeOver(Job& aJob, const TaskName& aTask);
--- a/include/coltsfootshed/Scheduling/TargetState.h
+++ b/include/coltsfootshed/Scheduling/TargetState.h
@@ -35,6 +35,8 @@
   /// When the last start or stop order ended, or the target first listed the
   /// run; 0: not yet, or a run whose start got no answer is being stopped.
   Millis answeredAt_{ 0 };
+  /// Sending of the last request whose answer listed the run; 0: none.
+  Millis listedAsOf_{ 0 };
   TargetTime leaseUntil_ = 0;
   int percent_ = 0;               ///< as the target reports it
   std::int64_t recentMetric_ = 0; ///< as the target reports it, see ReportedRun
--- a/lib/Scheduling/SchedulerHolds.cpp
+++ b/lib/Scheduling/SchedulerHolds.cpp
@@ -328,7 +328,7 @@
                                      aAnswer.clock_ + settings_.lease_.count());
   }
   ApplyEnds(aTarget, aAnswer);
-  ApplyRunning(aTarget, aAnswer);
+  ApplyRunning(aTarget, aAnswer, aSentAt);
   DropMissingRuns(aTarget, aAnswer, aSentAt);
   AcknowledgeSaved(aTarget);
   return true;
@@ -496,7 +496,9 @@
                    { "after_ms", Text((now - createdAt_).count()) } });
 }
 
-void Scheduler::ApplyRunning(TargetState& aTarget, const HoldAnswer& aAnswer)
+void Scheduler::ApplyRunning(TargetState& aTarget,
+                             const HoldAnswer& aAnswer,
+                             Millis aSentAt)
 {
   for (const ReportedRun& running : aAnswer.running_) {
     RunKey key{ running.task_, running.run_ };
@@ -507,6 +509,7 @@
     }
     run->percent_ = running.percent_;
     run->recentMetric_ = running.recentMetric_;
+    run->listedAsOf_ = std::max(run->listedAsOf_, aSentAt);
     if (run->phase_ == RunPhase::Starting || run->phase_ == RunPhase::Unknown) {
       run->phase_ = RunPhase::Running;
       run->answeredAt_ = clock_.Now();
--- a/lib/Scheduling/SchedulerOrders.cpp
+++ b/lib/Scheduling/SchedulerOrders.cpp
@@ -123,12 +123,16 @@
 
 /// Returns true if an earlier scheduler may have stopped the run, which its
 /// target lists until it has ended. The target has taken no stop of an earlier
-/// scheduler since it first answered this one.
+/// scheduler since it first answered this one, so a stop has ended
+/// longestStop_ later. Only an answer to a request sent after that shows
+/// whether the run is still there: one that is on its way, or waits in this
+/// process, may tell of its end.
 bool Scheduler::MayBeStopping(const TargetState& aTarget,
                               const RunState& aRun) const
 {
-  return aRun.adopted_ && clock_.Now() - aTarget.heldSince_ <
-                            settings_.longestStop_ + kStopMargin;
+  Millis stopsEnded = aTarget.heldSince_ + settings_.longestStop_;
+  return aRun.adopted_ && (clock_.Now() < stopsEnded + kStopMargin ||
+                           aRun.listedAsOf_ < stopsEnded);
 }
 
 /// Returns true if a run is known to be up, and to stay so unless this
