Accounts: each call needs the API key of an account

What callers saw: any key, or none, was served.

Cause: nothing on the job path read the Authorization header.

Change: if the configuration lists accounts, each call to a queue that is not public needs the API key of one of them. Missing, doubled, oversized or malformed credentials and unknown keys get 401 with the reason, but only on a configuration known to be current; otherwise it is read first, or the answer is 503. The record of a job names its account; records without one are read as before. Without accounts in the configuration nothing changes.

--- a/include/coltsfootshed/Jobs/JobSpec.h
+++ b/include/coltsfootshed/Jobs/JobSpec.h
@@ -74,6 +74,7 @@
   Millis objectiveBase_{ 0 };
   Millis acceptedAt_{ 0 };    ///< since 1970
   bool needsTickets_ = false; ///< starts need a ticket of the advice service
+  std::string account_;       ///< client account; empty: none
 };
 
 /// Returns true for 16 hexadecimal digits.
--- a/include/coltsfootshed/Node/JobApi.h
+++ b/include/coltsfootshed/Node/JobApi.h
@@ -41,9 +41,14 @@
   /// Handles a request with the configuration that is known, which may be old.
   void ServeWithKnownConfig(const Exchange& aExchange);
 
+  /// Returns the account of the caller, empty on a public queue or without
+  /// accounts. Otherwise replies and returns nothing.
+  std::optional<std::string> IdentifyCaller(const Exchange& aExchange,
+                                            const QueueConfig& aQueue);
   void Submit(const Exchange& aExchange,
               const QueueConfig& aQueue,
-              const std::string& aJob);
+              const std::string& aJob,
+              const std::string& aAccount);
   void Show(const Exchange& aExchange,
             const QueueConfig& aQueue,
             const std::string& aJob);
@@ -70,6 +75,7 @@
 
   bool MayWrite() const;
   void RejectConfigOld(const Exchange& aExchange);
+  void RejectCaller(const Exchange& aExchange, std::string_view aReason);
   void RejectUnknownQueue(const Exchange& aExchange,
                           const std::string& aNearestQueue);
 
--- a/include/coltsfootshed/Node/JobsConfig.h
+++ b/include/coltsfootshed/Node/JobsConfig.h
@@ -4,6 +4,7 @@
 #ifndef COLTSFOOTSHED_NODE_JOBSCONFIG_H
 #define COLTSFOOTSHED_NODE_JOBSCONFIG_H
 
+#include "coltsfootshed/Accounts/KeyRing.h"
 #include "coltsfootshed/Support/Clock.h"
 
 #include <cstdint>
@@ -26,6 +27,7 @@
   double stretch_ = 1;
   Millis objectiveBase_{ 0 };
   bool needsTickets_ = false; ///< needs tickets of the advice service
+  bool public_ = false; ///< calls need no API key; jobs belong to no account
 };
 
 struct ServiceConfig
@@ -39,6 +41,11 @@
   std::uint64_t version_ = 0;
   std::vector<QueueConfig> queues_;
   std::vector<ServiceConfig> services_;
+  /// Whether calls need the API key of an account, unless their queue is
+  /// public.
+  bool hasAccounts_ = false;
+  std::vector<AccountConfig> accounts_;
+  KeyRing keys_{ {} }; ///< of accounts_
 
   /// Returns the queue of a host whose prefix is the longest that matches a
   /// path, or null. A port in aHost is ignored.
--- a/lib/Jobs/JobSpec.cpp
+++ b/lib/Jobs/JobSpec.cpp
@@ -139,6 +139,9 @@
                   { "aim", aRecord.objectiveBase_.count() },
                   { "accepted", aRecord.acceptedAt_.count() },
                   { "advised", aRecord.needsTickets_ } };
+  if (!aRecord.account_.empty()) {
+    record["account"] = aRecord.account_;
+  }
   return record.dump();
 }
 
@@ -168,6 +171,7 @@
     record.objectiveBase_ = Millis(integer("aim", kAnyTime));
     record.acceptedAt_ = Millis(integer("accepted", kAnyTime));
     record.needsTickets_ = aJson.at("advised");
+    record.account_ = Field<std::string>(aJson, "account", "");
     if (!IsJobId(record.id_) || record.spec_.steps_.empty()) {
       throw std::invalid_argument("no valid id or steps");
     }
--- a/lib/Node/JobApi.cpp
+++ b/lib/Node/JobApi.cpp
@@ -1,5 +1,6 @@
 #include "coltsfootshed/Node/JobApi.h"
 
+#include "coltsfootshed/Accounts/Credentials.h"
 #include "coltsfootshed/Observe/DecisionLog.h"
 #include "coltsfootshed/Store/Keys.h"
 #include "coltsfootshed/Support/JsonReader.h"
@@ -158,11 +159,15 @@
     RejectUnknownQueue(aExchange, queue == nullptr ? "" : queue->name_);
     return;
   }
+  std::optional<std::string> account = IdentifyCaller(aExchange, *queue);
+  if (!account) {
+    return;
+  }
   Count("requests_" + request.method_);
   if (asksWaiting) {
     ShowWaiting(aExchange, *queue);
   } else if (request.method_ == "POST") {
-    Submit(aExchange, *queue, job);
+    Submit(aExchange, *queue, job, *account);
   } else if (request.method_ == "GET") {
     Show(aExchange, *queue, job);
   } else if (request.method_ == "DELETE") {
@@ -172,6 +177,41 @@
   }
 }
 
+std::optional<std::string> JobApi::IdentifyCaller(const Exchange& aExchange,
+                                                  const QueueConfig& aQueue)
+{
+  if (!config_->hasAccounts_ || aQueue.public_) {
+    return std::string();
+  }
+  auto key = ReadApiKey(aExchange->Request().headers_);
+  const std::string* account = key ? config_->keys_.Find(*key) : nullptr;
+  if (account != nullptr) {
+    return *account;
+  }
+  if (!freshness_.IsCurrent()) {
+    // A newer configuration may have the key, or make the queue public.
+    RejectConfigOld(aExchange);
+  } else {
+    RejectCaller(aExchange, key ? "unknown API key" : TextOf(key.error()));
+  }
+  return std::nullopt;
+}
+
+void JobApi::RejectCaller(const Exchange& aExchange, std::string_view aReason)
+{
+  LogDecision(
+    "caller-rejected",
+    { { "path", std::string(PathOf(aExchange->Request().target_)) },
+      { "reason", std::string(aReason) },
+      { "config", std::to_string(config_->version_) },
+      { "config_age_ms", std::to_string(freshness_.Age().count()) } });
+  Count("requests_rejected_credentials");
+  Json body = { { "error", aReason } };
+  HttpAnswer answer = JsonAnswer(401, body.dump());
+  answer.headers_.emplace_back("WWW-Authenticate", "Bearer");
+  aExchange->Reply(answer);
+}
+
 /// Replies to a request that the known configuration is too old to decide.
 void JobApi::RejectConfigOld(const Exchange& aExchange)
 {
@@ -203,7 +243,8 @@
 
 void JobApi::Submit(const Exchange& aExchange,
                     const QueueConfig& aQueue,
-                    const std::string& aJob)
+                    const std::string& aJob,
+                    const std::string& aAccount)
 {
   auto spec = format_.readJob_(aExchange->Request().body_);
   if (!spec) {
@@ -239,6 +280,7 @@
   record.objectiveBase_ = aQueue.objectiveBase_;
   record.acceptedAt_ = wallClock_.Now();
   record.needsTickets_ = aQueue.needsTickets_;
+  record.account_ = aAccount;
   Transaction transaction;
   transaction.conditions_.push_back({ keys::Job(aJob), 0 });
   transaction.conditions_.push_back({ keys::Cancel(aJob), 0 });
@@ -254,6 +296,7 @@
                   { { "job", record.id_ },
                     { "queue", record.queue_ },
                     { "service", record.service_ },
+                    { "account", record.account_ },
                     { "config", std::to_string(version) },
                     { "config_age_ms", std::to_string(configAge.count()) },
                     { "reason", aResult.reason_ } });
--- a/unittests/Node/JobsNodeTest.cpp
+++ b/unittests/Node/JobsNodeTest.cpp
@@ -51,6 +51,18 @@
 constexpr const char* kNewConfig =
   R"({"Version":2,"Services":[{"Name":"s"}],
       "Routes":[{"Name":"n","Host":"h","Prefix":"/n/","Service":"s"}]})";
+/// As kConfig, with an account and a public queue.
+constexpr const char* kAccountsConfig =
+  R"({"Version":2,"Services":[{"Name":"s"}],
+      "Tenants":[{"Name":"a","Weight":3,"ApiKeys":["old","key"]}],
+      "Routes":[{"Name":"q","Host":"h","Prefix":"/q/","Service":"s"},
+                {"Name":"p","Host":"h","Prefix":"/p/","Service":"s",
+                 "Public":true}]})";
+/// As kAccountsConfig; a key has been replaced by another.
+constexpr const char* kChangedKeysConfig =
+  R"({"Version":3,"Services":[{"Name":"s"}],
+      "Tenants":[{"Name":"a","Weight":3,"ApiKeys":["key","new"]}],
+      "Routes":[{"Name":"q","Host":"h","Prefix":"/q/","Service":"s"}]})";
 constexpr const char* kJobId = "0123456789abcdef";
 constexpr const char* kJobPath = "/q/0123456789abcdef";
 constexpr const char* kJob = R"({"Spec":"s","Steps":[{"Count":1,"Cpu":1}]})";
@@ -74,6 +86,10 @@
   CPPUNIT_TEST(AJobStoredDuringItsCancelIsCancelled);
   CPPUNIT_TEST(ACancelThatIsNotStoredIsNotConfirmed);
   CPPUNIT_TEST(AJobWithAnUnreadableRecordIsNotDenied);
+  CPPUNIT_TEST(CallsNeedAKeyUnlessTheirQueueIsPublic);
+  CPPUNIT_TEST(ARevokedKeyStopsWorkingOnOpenConnections);
+  CPPUNIT_TEST(AnUnknownKeyIsNotDeniedWithAnOldConfiguration);
+  CPPUNIT_TEST(ANewKeyIsReadIfTheWatchIsLate);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr Millis kConfigDeadline{ 2000 };
@@ -276,6 +292,62 @@
     CPPUNIT_ASSERT_EQUAL(500, Call("GET", kJobPath).code_);
   }
 
+  void CallsNeedAKeyUnlessTheirQueueIsPublic()
+  {
+    StartWithAccounts();
+    struct Row
+    {
+      const char* key_;
+      const char* method_;
+      const char* path_;
+      int code_;
+    };
+    const Row rows[] = {
+      { "", "POST", kJobPath, 401 },       { "none", "POST", kJobPath, 401 },
+      { "", "GET", "/q/", 401 },           { "none", "GET", kJobPath, 401 },
+      { "none", "DELETE", kJobPath, 401 }, { "key", "POST", kJobPath, 200 },
+      { "old", "GET", "/q/", 200 },        { "", "GET", "/p/", 200 },
+      { "none", "GET", "/p/", 200 },       { "key", "GET", "/no/", 404 },
+      { "", "GET", "/no/", 404 }
+    };
+    for (const Row& row : rows) {
+      CPPUNIT_ASSERT_EQUAL(row.code_,
+                           CodeWith(row.key_, row.method_, row.path_));
+    }
+    auto record = DecodeRecord(store_->items_.at(keys::Job(kJobId)).value_);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), record->account_);
+  }
+
+  void ARevokedKeyStopsWorkingOnOpenConnections()
+  {
+    StartWithAccounts();
+    CPPUNIT_ASSERT_EQUAL(200, CodeWith("old", "GET", "/q/"));
+    store_->Change(format_.configKey_, kChangedKeysConfig);
+    RunFor(kMargin);
+    CPPUNIT_ASSERT_EQUAL(401, CodeWith("old", "GET", "/q/"));
+    CPPUNIT_ASSERT_EQUAL(401, CodeWith("old", "POST", kJobPath));
+    CPPUNIT_ASSERT_EQUAL(200, CodeWith("new", "GET", "/q/"));
+  }
+
+  /// The key may have been added by a configuration that this VM lacks.
+  void AnUnknownKeyIsNotDeniedWithAnOldConfiguration()
+  {
+    StartWithAccounts();
+    store_->silent_ = true;
+    RunFor(kConfigDeadline + kMargin);
+    CPPUNIT_ASSERT_EQUAL(503, CodeWith("new", "GET", "/q/"));
+    CPPUNIT_ASSERT_EQUAL(503, CodeWith("", "GET", "/q/"));
+    CPPUNIT_ASSERT_EQUAL(200, CodeWith("old", "GET", "/q/"));
+  }
+
+  void ANewKeyIsReadIfTheWatchIsLate()
+  {
+    StartWithAccounts();
+    MakeConfigOld(kChangedKeysConfig);
+    CPPUNIT_ASSERT_EQUAL(200, CodeWith("new", "GET", "/q/"));
+    CPPUNIT_ASSERT_EQUAL(401, CodeWith("old", "GET", "/q/"));
+  }
+
 private:
   bool IsStored(const std::string& aKey) const
   {
@@ -333,9 +405,13 @@
                   const char* aBody = "",
                   std::optional<Endpoint> aServer = std::nullopt)
   {
+    Headers headers = { { "Host", "h" } };
+    if (!apiKey_.empty()) {
+      headers.emplace_back("Authorization", "Bearer " + apiKey_);
+    }
     std::optional<CallResult> result;
     client_->Call(aServer.value_or(front_),
-                  { aMethod, aPath, { { "Host", "h" } }, aBody },
+                  { aMethod, aPath, headers, aBody },
                   kLimit,
                   Reuse::Any,
                   [&](CallResult aResult) { result = std::move(aResult); });
@@ -345,6 +421,25 @@
     CPPUNIT_ASSERT(result->end_ == CallEnd::Answered);
     return result->answer_;
   }
+  /// Starts a VM, then gives it a configuration with accounts.
+  void StartWithAccounts()
+  {
+    Start(kNoContactTime);
+    store_->Change(format_.configKey_, kAccountsConfig);
+    Millis end = clock_.Now() + kLimit;
+    while (CodeWith("", "GET", "/p/") != 200) {
+      CPPUNIT_ASSERT(clock_.Now() < end);
+      RunFor(Millis(20));
+    }
+  }
+
+  /// Calls with an API key; an empty one stands for none.
+  int CodeWith(const char* aKey, const char* aMethod, const char* aPath)
+  {
+    apiKey_ = aKey;
+    bool submits = std::string_view(aMethod) == "POST";
+    return Call(aMethod, aPath, submits ? kJob : "").code_;
+  }
   int Ready() { return Call("GET", "/ready", "", ready_).code_; }
 
   void RunFor(Millis aTime)
@@ -366,10 +461,10 @@
   }
   /// Changes the configuration while its watches get no answer, and waits until
   /// the change must be in force.
-  void MakeConfigOld()
+  void MakeConfigOld(const char* aNewConfig = kNewConfig)
   {
     store_->silentPrefix_ = format_.operatorPrefix_;
-    store_->Change(format_.configKey_, kNewConfig);
+    store_->Change(format_.configKey_, aNewConfig);
     LoseWatch();
   }
 
@@ -383,6 +478,7 @@
   std::unique_ptr<JobsNode> node_;
   Endpoint front_;
   Endpoint ready_;
+  std::string apiKey_; ///< sent with each call, unless empty
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobsNodeTest);
