Accounts: caps are divided among services and kept by each leader

Change, as docs/design/accounts.md says: the pool manager divides each cap into shares (CapDivider), kept in one table in the store; leaders start a task only if the account's use in their service and the task fit into the share (CapUsage). A share is lowered in the table only after the service's leader has confirmed a lower limit, on condition that it still leads. Starts cause no writes. Requests and reports between entry VMs are as before while no account has a cap.

--- /dev/null
+++ b/include/coltsfootshed/Accounts/CapDivider.h
@@ -0,0 +1,104 @@
+/// \file
+/// Divides the caps of accounts among services, each of which has a leader of
+/// its own that starts work within its share. Does no input or output.
+///
+/// Answers loads that move from one service to another within a second: an
+/// account that asks for its whole cap in one service gets what the others do
+/// not use. The shares of an account never add up to more than its cap, also
+/// not for a leader or a divider that takes over halfway: a share is lowered in
+/// the table only after the service's leader has confirmed a lower limit, on
+/// condition that this leader still leads, and raised only in the same write.
+#ifndef COLTSFOOTSHED_ACCOUNTS_CAPDIVIDER_H
+#define COLTSFOOTSHED_ACCOUNTS_CAPDIVIDER_H
+
+#include "coltsfootshed/Accounts/Account.h"
+#include "coltsfootshed/Accounts/CapShares.h"
+#include "coltsfootshed/Support/Clock.h"
+
+#include <set>
+#include <span>
+
+namespace coltsfootshed {
+
+/// A new table of shares, to be written if the store's table has the revision
+/// replaces_ and each of leaders_ still leads.
+struct CapTableWrite
+{
+  std::string table_;
+  Revision replaces_ = 0; ///< 0: there is no table yet
+  std::vector<std::pair<std::string, Fence>> leaders_; ///< service and fence
+};
+
+class CapDivider
+{
+public:
+  explicit CapDivider(const Clock& aClock);
+
+  void SetAccounts(std::span<const AccountConfig> aAccounts);
+  void SetServices(std::set<std::string> aServices);
+  /// Returns true if some account has a cap.
+  bool IsOn() const { return !accounts_.empty(); }
+
+  /// Returns true if the table has to be read from the store: at first, and
+  /// after a write whose outcome is not known.
+  bool NeedsTable() const { return needsTable_; }
+  /// Takes the table that was read; revision 0 stands for none.
+  void LoadTable(CapTable aTable, Revision aRevision);
+  void SetReport(const std::string& aService, const CapReport& aReport);
+  /// Returns what to send to the leader of a service.
+  CapOrder OrderFor(const std::string& aService);
+
+  /// Returns the table to write now, if there is one. It must not be called
+  /// again before OnWritten().
+  std::optional<CapTableWrite> Decide();
+  /// Takes the outcome of the write: the new revision of the table, or nothing
+  /// if it may not have been carried out.
+  void OnWritten(std::optional<Revision> aRevision);
+  /// Returns the services whose leader has to be told something new.
+  std::set<std::string> Untold() const;
+
+private:
+  struct Report
+  {
+    CapReport content_;
+    Millis receivedAt_{ 0 };
+  };
+  /// What a service has of one account's cap, and what it should have.
+  struct Part
+  {
+    std::string service_;
+    CapShare share_ = 0;              ///< in the table
+    const AccountUse* use_ = nullptr; ///< null: no fresh report
+    CapShare goal_ = 0;
+    CapShare next_ = 0; ///< in the next table
+  };
+
+  void DivideAccount(const std::string& aAccount, CapTable& aNext);
+  std::vector<Part> PartsOf(const std::string& aAccount) const;
+  static void SetGoals(std::vector<Part>& aParts);
+  const Report* FreshReport(const std::string& aService) const;
+  void SetCeiling(const std::string& aService,
+                  const std::string& aAccount,
+                  std::optional<CapShare> aCeiling);
+
+  const Clock& clock_;
+  std::set<std::string, std::less<>> accounts_; ///< those with a cap
+  std::set<std::string> services_;
+  bool needsTable_ = true;
+  /// A write whose outcome is not known may still be carried out. Until another
+  /// write succeeds, no ceiling is raised.
+  bool mayChangeLate_ = false;
+  CapTable table_;
+  Revision revision_ = 0;
+  std::map<std::string, Report, std::less<>> reports_;
+  std::map<std::string, CapShares, std::less<>> ceilings_; ///< by service
+  std::uint64_t orders_ = 0;
+  std::optional<CapTable> written_; ///< while a write is in flight
+  Millis nextWriteAt_{ 0 };
+  std::set<std::string> untold_;
+  std::set<std::string> lowered_; ///< services lowered by the next write
+};
+
+} // namespace coltsfootshed
+
+#endif
--- /dev/null
+++ b/include/coltsfootshed/Accounts/CapShares.h
@@ -0,0 +1,70 @@
+/// \file
+/// Parts of an account's cap, and the messages by which they are divided among
+/// services.
+#ifndef COLTSFOOTSHED_ACCOUNTS_CAPSHARES_H
+#define COLTSFOOTSHED_ACCOUNTS_CAPSHARES_H
+
+#include "coltsfootshed/Store/KeyValueStore.h"
+#include "coltsfootshed/Targets/Target.h"
+
+#include <map>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace coltsfootshed {
+
+/// A part of a cap, in ten-thousandths. Above kWholeCap if more runs than a
+/// lowered cap allows.
+using CapShare = std::int64_t;
+inline constexpr CapShare kWholeCap = 10000;
+
+/// Shares of one service, by account.
+using CapShares = std::map<std::string, CapShare, std::less<>>;
+
+/// Sent to the leader of a service.
+struct CapOrder
+{
+  std::uint64_t number_ = 0; ///< rises with each order of one sender
+  Revision table_ = 0;       ///< revision of the table of shares
+  /// The service's shares in that table; nothing if the leader has them.
+  std::optional<CapShares> shares_;
+  /// Limits below the shares, which are to be taken back.
+  CapShares ceilings_;
+};
+
+/// What one account uses in a service, as shares of its cap.
+struct AccountUse
+{
+  std::string account_;
+  CapShare limit_ = 0; ///< beyond which the leader starts nothing
+  CapShare used_ = 0;  ///< by runs, rounded up
+  CapShare asked_ = 0; ///< by runs and by tasks that could start now
+};
+
+/// Returned by the leader of a service.
+struct CapReport
+{
+  Fence leader_ = 0;   ///< fence of the leader
+  Revision table_ = 0; ///< revision of the table that it follows
+  std::vector<AccountUse> accounts_;
+};
+
+/// JSON forms for calls between entry VMs. The readers throw std::exception if
+/// a field is malformed.
+nlohmann::json ToJson(const CapOrder& aOrder);
+CapOrder CapOrderFrom(const nlohmann::json& aJson);
+nlohmann::json ToJson(const CapReport& aReport);
+CapReport CapReportFrom(const nlohmann::json& aJson);
+
+/// Shares of all services: by account, then service. The stored form is JSON.
+using CapTable = std::map<std::string, CapShares, std::less<>>;
+std::string EncodeCapTable(const CapTable& aTable);
+Result<CapTable> DecodeCapTable(std::string_view aText);
+/// Returns the shares of one service.
+CapShares SharesOf(const CapTable& aTable, std::string_view aService);
+
+} // namespace coltsfootshed
+
+#endif
--- /dev/null
+++ b/include/coltsfootshed/Accounts/CapUsage.h
@@ -0,0 +1,80 @@
+/// \file
+/// What accounts have running in one service, against that service's shares of
+/// their caps. Does no input or output.
+///
+/// Answers a load in which an account asks for more than its cap, in several
+/// services at once, each of which has a leader of its own.
+#ifndef COLTSFOOTSHED_ACCOUNTS_CAPUSAGE_H
+#define COLTSFOOTSHED_ACCOUNTS_CAPUSAGE_H
+
+#include "coltsfootshed/Accounts/Account.h"
+#include "coltsfootshed/Accounts/CapShares.h"
+#include "coltsfootshed/Support/Clock.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+
+namespace coltsfootshed {
+
+class CapUsage
+{
+public:
+  explicit CapUsage(const Clock& aClock);
+
+  /// Sets the caps that are in force. An account that is no longer among them
+  /// keeps its last cap, as its jobs may still run.
+  void SetAccounts(std::span<const AccountConfig> aAccounts);
+  /// Gives each account an equal part of its cap in each of aServices services,
+  /// where nobody divides the caps.
+  void SplitEvenly(std::size_t aServices);
+  /// Sets the service's shares of the table that the store holds. Ignores a
+  /// table that is older than the known one.
+  void SetShares(Revision aTable, const CapShares& aShares);
+  /// Applies an order of the process that divides the caps. Orders that are
+  /// older than one applied before change nothing, as they may arrive late.
+  void Apply(Fence aFence, const CapOrder& aOrder);
+
+  void AddRun(const std::string& aAccount, const Resources& aTakes);
+  void RemoveRun(const std::string& aAccount, const Resources& aTakes);
+  /// Sets what accounts may have running beside the added runs: started by an
+  /// earlier leader on targets that have not answered yet.
+  void SetUnconfirmed(std::map<std::string, Resources, std::less<>> aByAccount);
+
+  /// Returns true if a run that takes aTakes fits into the account's share.
+  /// Counts and logs the moment when an account reaches its share. An account
+  /// that is not known is new, and then known within a second, or was removed.
+  bool MayStart(const std::string& aAccount, const Resources& aTakes);
+  /// Returns true if some account has a cap.
+  bool IsOn() const { return isOn_; }
+
+  /// Returns use and limit of each account that runs or waits. aWaiting is what
+  /// could start now.
+  CapReport Report(
+    const std::map<std::string, Resources, std::less<>>& aWaiting) const;
+
+private:
+  CapShare LimitOf(std::string_view aAccount) const;
+  Resources InUse(std::string_view aAccount) const;
+  CapShare ShareInUse(std::string_view aAccount, const Resources& aCap) const;
+
+  const Clock& clock_;
+  bool isOn_ = false;
+  std::map<std::string, Resources, std::less<>> caps_; ///< of known accounts
+  /// When a start of an account that is not known was first asked for.
+  std::map<std::string, Millis, std::less<>> unknownSince_;
+  std::optional<CapShare> evenShare_;
+  Revision table_ = 0;
+  CapShares shares_;
+  Fence orderFence_ = 0;
+  std::uint64_t orderNumber_ = 0; ///< of the last order under orderFence_
+  CapShares ceilings_;
+  std::map<std::string, Resources, std::less<>> running_;
+  std::map<std::string, Resources, std::less<>> unconfirmed_;
+  std::set<std::string, std::less<>> limited_; ///< accounts at their share
+};
+
+} // namespace coltsfootshed
+
+#endif
--- a/include/coltsfootshed/Node/JobsConfig.h
+++ b/include/coltsfootshed/Node/JobsConfig.h
@@ -8,6 +8,7 @@
 #include "coltsfootshed/Support/Clock.h"
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -50,6 +51,8 @@
   /// Returns the queue of a host whose prefix is the longest that matches a
   /// path, or null. A port in aHost is ignored.
   const QueueConfig* Find(std::string_view aHost, std::string_view aPath) const;
+  /// Returns the names of the services, without the spare pool.
+  std::set<std::string> ServedServices() const;
 };
 
 /// A maintenance wave: VMs that are due for maintenance together.
--- a/include/coltsfootshed/Node/LeaderRpc.h
+++ b/include/coltsfootshed/Node/LeaderRpc.h
@@ -7,6 +7,7 @@
 #include "coltsfootshed/Http/Client.h"
 #include "coltsfootshed/Http/Server.h"
 #include "coltsfootshed/Node/LeaderElection.h"
+#include "coltsfootshed/Node/PoolRequest.h"
 #include "coltsfootshed/Node/ServiceLeader.h"
 
 namespace coltsfootshed {
@@ -46,12 +47,11 @@
   void AskWaiting(const std::string& aService,
                   const std::string& aQueue,
                   std::function<void(Result<int>)> aOnAnswer);
-  /// Tells the leader which targets must get no new runs, and asks how busy
-  /// its pool is. The answer is an error if a pool manager with a higher fence
-  /// than aManagerFence has asked before.
+  /// Tells the leader what the pool manager orders, and asks how busy its pool
+  /// is. The answer is an error if a pool manager with a higher fence has asked
+  /// before.
   void AskPool(const std::string& aService,
-               Fence aManagerFence,
-               const std::vector<std::string>& aVacating,
+               const PoolRequest& aRequest,
                std::function<void(Result<PoolReport>)> aOnAnswer);
 
   /// Serves a call of another entry VM.
--- a/include/coltsfootshed/Node/PoolManager.h
+++ b/include/coltsfootshed/Node/PoolManager.h
@@ -4,6 +4,7 @@
 #ifndef COLTSFOOTSHED_NODE_POOLMANAGER_H
 #define COLTSFOOTSHED_NODE_POOLMANAGER_H
 
+#include "coltsfootshed/Node/CapCoordinator.h"
 #include "coltsfootshed/Node/LeaderRpc.h"
 #include "coltsfootshed/Node/WireFormat.h"
 #include "coltsfootshed/Pools/PoolPlanner.h"
@@ -52,6 +53,10 @@
   void Tick();
   void ListVms();
   void RequestReports();
+  void RequestReport(const std::string& aService);
+  void OnReport(const std::string& aService, const Result<PoolReport>& aReport);
+  /// Requests a report soon, as there is a new order about caps.
+  void TellSoon(const std::string& aService);
   void Decide();
   void Execute(const PoolOrder& aOrder);
   void WriteWaveStatus(const PublishWave& aWaveStatus);
@@ -67,6 +72,7 @@
   Fence fence_;
   Millis holderLease_;
   PoolPlanner planner_;
+  CapCoordinator caps_;
   std::shared_ptr<const JobsConfig> config_;
   Timer tickTimer_;
   std::uint64_t orderCount_ = 0;
@@ -74,7 +80,8 @@
   bool fencedOff_ = false;
   bool listInFlight_ = false;
   Millis nextListAt_{ 0 };
-  std::set<std::string> pendingReports_; ///< services yet to report
+  std::set<std::string> pendingReports_;  ///< services yet to report
+  std::map<std::string, Millis> askedAt_; ///< last request, by service
   bool storeCallInFlight_ = false;
   /// Number of wave changes that the saved state contains.
   std::uint64_t savedChanges_ = 0;
--- a/include/coltsfootshed/Node/ServiceLeader.h
+++ b/include/coltsfootshed/Node/ServiceLeader.h
@@ -11,6 +11,9 @@
 
 namespace coltsfootshed {
 
+struct JobsConfig;
+struct PoolRequest;
+
 class ServiceLeader final : private PrefixListener
 {
 public:
@@ -37,6 +40,8 @@
     Millis deletionInterval_{ 5000 }; ///< between deletions of old items
     Millis longestWatch_{ 1000 };     ///< wait of a watch for events
     double remoteDataSlowdown_ = 1;   ///< slowdown of a task away from its data
+    /// Whether a pool manager divides the caps of accounts among services.
+    bool hasPoolManager_ = true;
   };
 
   /// aOnStepDown runs once, from a callback, when a leader with a higher fence
@@ -57,10 +62,11 @@
   void UnregisterTarget(const std::string& aId);
   /// Decides again soon, as its authority may have changed.
   void OnAuthorityChecked() { ScheduleDecision(); }
-  /// Sets the targets that must get no new runs, as the pool manager with the
-  /// fence aManagerFence says. Returns false, and changes nothing, if a manager
-  /// with a higher fence has called before.
-  bool SetVacating(Fence aManagerFence, std::span<const std::string> aTargets);
+  /// Sets the accounts that are in force.
+  void SetConfig(const JobsConfig& aConfig);
+  /// Carries out what the pool manager orders. Returns false, and changes
+  /// nothing, if a manager with a higher fence has called before.
+  bool ApplyPoolRequest(const PoolRequest& aRequest);
 
   /// Returns true if it knows all jobs that were accepted longer than aMaxAge
   /// ago, and no other leader can have started some of them.
@@ -74,6 +80,7 @@
   void OnEvent(const StoreEvent& aEvent) override;
   void Apply(const StoreItem& aItem);
   void LoadRoster();
+  void LoadCapShares();
   void LoadProgress();
   void ReadProgressPage(const std::string& aAfter);
   void OnLoaded();
--- a/include/coltsfootshed/Pools/PoolPlanner.h
+++ b/include/coltsfootshed/Pools/PoolPlanner.h
@@ -8,6 +8,7 @@
 #ifndef COLTSFOOTSHED_POOLS_POOLPLANNER_H
 #define COLTSFOOTSHED_POOLS_POOLPLANNER_H
 
+#include "coltsfootshed/Accounts/CapShares.h"
 #include "coltsfootshed/Node/JobsConfig.h"
 #include "coltsfootshed/Pools/VmCalls.h"
 #include "coltsfootshed/Support/Clock.h"
@@ -48,6 +49,7 @@
   double arrivingCpu_ = 0;
   int minVms_ = 0; ///< needed to spread the tasks of its steps
   std::vector<TargetUse> targets_;
+  std::optional<CapReport> caps_; ///< if accounts have caps
 };
 
 std::string EncodeReport(const PoolReport& aReport);
--- a/include/coltsfootshed/Scheduling/Scheduler.h
+++ b/include/coltsfootshed/Scheduling/Scheduler.h
@@ -5,6 +5,7 @@
 #ifndef COLTSFOOTSHED_SCHEDULING_SCHEDULER_H
 #define COLTSFOOTSHED_SCHEDULING_SCHEDULER_H
 
+#include "coltsfootshed/Accounts/CapUsage.h"
 #include "coltsfootshed/Pools/PoolPlanner.h"
 #include "coltsfootshed/Scheduling/ArrivalRate.h"
 #include "coltsfootshed/Scheduling/ImageEstimates.h"
@@ -177,6 +178,10 @@
   /// with a higher fence has called before. Ids of unknown targets are ignored.
   bool SetVacating(Fence aManagerFence, std::span<const std::string> aTargets);
 
+  /// What accounts have running here, and how much of their caps this service
+  /// has.
+  CapUsage& Caps() { return caps_; }
+
   // Answers to orders. OnProbe() takes the answer to a hold order with isProbe_
   // set.
   void OnHold(const std::string& aTarget, const HoldAnswer& aAnswer);
@@ -270,7 +275,13 @@
   Job* FindJob(std::string_view aId);
   Millis LeaseToGrant() const;
   double WorkOf(const JobSpec& aSpec) const;
-  void AddWaiting(const Job& aJob, PoolReport& aReport) const;
+  using ByAccount = std::map<std::string, Resources, std::less<>>;
+
+  void AddWaiting(const Job& aJob,
+                  PoolReport& aReport,
+                  ByAccount& aByAccount) const;
+  void AddRun(TargetState& aTarget, const RunKey& aRun, const RunState& aState);
+  void NoteUnconfirmedRuns();
   ChangeNumber MarkChanged(Job& aJob);
   void WakeBy(Millis aAt) { nextDue_ = std::min(nextDue_, aAt); }
 
@@ -401,6 +412,8 @@
   std::map<TaskName, StepAdvice> advice_; ///< by step: a task name with index 0
   ImageEstimates estimates_;
   ArrivalRate arrivals_;
+  CapUsage caps_;
+  bool runsConfirmed_ = false; ///< caps_ knows that this scheduler is ready
   int savesInFlight_ = 0;
   Millis saveRetryAt_{ 0 };
   /// Highest fence of a pool manager that called SetVacating().
--- a/include/coltsfootshed/Scheduling/TargetState.h
+++ b/include/coltsfootshed/Scheduling/TargetState.h
@@ -29,6 +29,7 @@
   bool longRunning_ = false; ///< ends only when cancelled
   bool adopted_ = false;     ///< an earlier scheduler started it
   std::string label_;        ///< label that its target must have; empty: any
+  std::string account_;      ///< client account; empty: none
   Millis latencyObjective_{ 0 };
   Millis estimate_{ 0 };
   Millis sentAt_{ 0 }; ///< time of the start, or when the run was adopted
--- a/include/coltsfootshed/Store/Keys.h
+++ b/include/coltsfootshed/Store/Keys.h
@@ -58,6 +58,11 @@
 {
   return "cf/pools";
 }
+/// Shares of the services in the caps of accounts, written by the pool manager.
+inline std::string CapShares()
+{
+  return "cf/caps";
+}
 /// Returns the rest of aKey after aPrefix, or an empty text if aKey does not
 /// start with it.
 inline std::string_view SuffixAfter(std::string_view aKey,
--- /dev/null
+++ b/lib/Accounts/CapShares.cpp
@@ -0,0 +1,102 @@
+#include "coltsfootshed/Accounts/CapShares.h"
+
+#include "coltsfootshed/Support/JsonReader.h"
+
+namespace coltsfootshed {
+
+/// A use may exceed a lowered cap many times over.
+static constexpr IntegerRange kAnyShare{ 0, kMaxExactInteger };
+
+static CapShares SharesFrom(const Json& aJson)
+{
+  CapShares shares;
+  for (const auto& [name, share] : aJson.items()) {
+    shares[name] = IntegerOf(share, kAnyShare);
+  }
+  return shares;
+}
+
+Json ToJson(const CapOrder& aOrder)
+{
+  Json json = { { "number", aOrder.number_ },
+                { "table", aOrder.table_ },
+                { "ceilings", aOrder.ceilings_ } };
+  if (aOrder.shares_) {
+    json["shares"] = *aOrder.shares_;
+  }
+  return json;
+}
+
+CapOrder CapOrderFrom(const Json& aJson)
+{
+  CapOrder order;
+  order.number_ =
+    static_cast<std::uint64_t>(IntegerOf(aJson.at("number"), kAnyCount));
+  order.table_ = static_cast<Revision>(IntegerOf(aJson.at("table"), kAnyCount));
+  order.ceilings_ = SharesFrom(aJson.at("ceilings"));
+  if (auto shares = aJson.find("shares"); shares != aJson.end()) {
+    order.shares_ = SharesFrom(*shares);
+  }
+  return order;
+}
+
+Json ToJson(const CapReport& aReport)
+{
+  Json rows = Json::array();
+  for (const AccountUse& use : aReport.accounts_) {
+    rows.push_back({ use.account_, use.limit_, use.used_, use.asked_ });
+  }
+  return { { "leader", aReport.leader_ },
+           { "table", aReport.table_ },
+           { "accounts", rows } };
+}
+
+CapReport CapReportFrom(const Json& aJson)
+{
+  CapReport report;
+  report.leader_ = static_cast<Fence>(IntegerOf(aJson.at("leader"), kAnyCount));
+  report.table_ =
+    static_cast<Revision>(IntegerOf(aJson.at("table"), kAnyCount));
+  for (const Json& row : aJson.at("accounts")) {
+    report.accounts_.push_back({ row.at(0),
+                                 IntegerOf(row.at(1), kAnyShare),
+                                 IntegerOf(row.at(2), kAnyShare),
+                                 IntegerOf(row.at(3), kAnyShare) });
+  }
+  return report;
+}
+
+std::string EncodeCapTable(const CapTable& aTable)
+{
+  Json json = Json::object();
+  for (const auto& [account, shares] : aTable) {
+    json[account] = shares;
+  }
+  return json.dump();
+}
+
+Result<CapTable> DecodeCapTable(std::string_view aText)
+{
+  auto read = [](const Json& aJson) {
+    CapTable table;
+    for (const auto& [account, shares] : aJson.items()) {
+      table[account] = SharesFrom(shares);
+    }
+    return table;
+  };
+  return ReadJson<CapTable>(
+    aText, kOwnDocument, "read the shares of caps", "", read);
+}
+
+CapShares SharesOf(const CapTable& aTable, std::string_view aService)
+{
+  CapShares shares;
+  for (const auto& [account, byService] : aTable) {
+    if (auto share = byService.find(aService); share != byService.end()) {
+      shares[account] = share->second;
+    }
+  }
+  return shares;
+}
+
+} // namespace coltsfootshed
--- /dev/null
+++ b/lib/Accounts/CapUsage.cpp
@@ -0,0 +1,196 @@
+#include "coltsfootshed/Accounts/CapUsage.h"
+
+#include "coltsfootshed/Observe/DecisionLog.h"
+
+#include <algorithm>
+
+namespace coltsfootshed {
+
+/// How long starts of an account that is not known wait for its configuration.
+static constexpr Millis kUnknownAccountPause{ 1000 };
+
+/// Amounts of resources that a cap can limit.
+static constexpr std::int64_t Resources::*kAmounts[] = { &Resources::cpu_,
+                                                         &Resources::memory_,
+                                                         &Resources::gpu_ };
+
+/// Returns the part of a cap that an amount is, rounded up. What is not limited
+/// is no part of it.
+static CapShare ShareOf(const Resources& aAmount, const Resources& aCap)
+{
+  CapShare share = 0;
+  for (auto amount : kAmounts) {
+    if (aCap.*amount > 0) {
+      share = std::max(share,
+                       (aAmount.*amount * kWholeCap + aCap.*amount - 1) /
+                         (aCap.*amount));
+    }
+  }
+  return share;
+}
+
+CapUsage::CapUsage(const Clock& aClock)
+  : clock_(aClock)
+{
+}
+
+void CapUsage::SetAccounts(std::span<const AccountConfig> aAccounts)
+{
+  isOn_ = false;
+  for (const AccountConfig& account : aAccounts) {
+    caps_[account.name_] = account.cap_;
+    unknownSince_.erase(account.name_);
+    isOn_ |= account.HasCap();
+  }
+}
+
+void CapUsage::SplitEvenly(std::size_t aServices)
+{
+  evenShare_ =
+    kWholeCap / static_cast<CapShare>(std::max<std::size_t>(1, aServices));
+}
+
+void CapUsage::SetShares(Revision aTable, const CapShares& aShares)
+{
+  if (aTable > table_) {
+    table_ = aTable;
+    shares_ = aShares;
+  }
+}
+
+void CapUsage::Apply(Fence aFence, const CapOrder& aOrder)
+{
+  bool isOld = aFence < orderFence_ ||
+               (aFence == orderFence_ && aOrder.number_ <= orderNumber_) ||
+               aOrder.table_ < table_;
+  if (isOld) {
+    return;
+  }
+  orderFence_ = aFence;
+  orderNumber_ = aOrder.number_;
+  if (aOrder.shares_) {
+    SetShares(aOrder.table_, *aOrder.shares_);
+  }
+  ceilings_ = aOrder.ceilings_;
+}
+
+void CapUsage::AddRun(const std::string& aAccount, const Resources& aTakes)
+{
+  if (!aAccount.empty()) {
+    running_[aAccount] += aTakes;
+  }
+}
+
+void CapUsage::RemoveRun(const std::string& aAccount, const Resources& aTakes)
+{
+  auto found = running_.find(aAccount);
+  if (found == running_.end()) {
+    return;
+  }
+  found->second -= aTakes;
+  if (found->second == Resources()) {
+    running_.erase(found);
+  }
+}
+
+void CapUsage::SetUnconfirmed(
+  std::map<std::string, Resources, std::less<>> aByAccount)
+{
+  unconfirmed_ = std::move(aByAccount);
+}
+
+/// Returns the share beyond which nothing starts.
+CapShare CapUsage::LimitOf(std::string_view aAccount) const
+{
+  auto share = shares_.find(aAccount);
+  CapShare limit =
+    share == shares_.end() ? evenShare_.value_or(0) : share->second;
+  auto ceiling = ceilings_.find(aAccount);
+  return ceiling == ceilings_.end() ? limit : std::min(limit, ceiling->second);
+}
+
+Resources CapUsage::InUse(std::string_view aAccount) const
+{
+  Resources inUse;
+  for (const auto* part : { &running_, &unconfirmed_ }) {
+    if (auto found = part->find(aAccount); found != part->end()) {
+      inUse += found->second;
+    }
+  }
+  return inUse;
+}
+
+/// Returns the share in use. What an earlier leader started is within the share
+/// of the table, which is lowered only to what its leader has reported.
+CapShare CapUsage::ShareInUse(std::string_view aAccount,
+                              const Resources& aCap) const
+{
+  auto running = running_.find(aAccount);
+  CapShare known =
+    running == running_.end() ? 0 : ShareOf(running->second, aCap);
+  auto share = shares_.find(aAccount);
+  CapShare most =
+    share == shares_.end() ? evenShare_.value_or(0) : share->second;
+  return std::max(known, std::min(ShareOf(InUse(aAccount), aCap), most));
+}
+
+bool CapUsage::MayStart(const std::string& aAccount, const Resources& aTakes)
+{
+  if (aAccount.empty()) {
+    return true;
+  }
+  auto cap = caps_.find(aAccount);
+  if (cap == caps_.end()) {
+    Millis now = clock_.Now();
+    Millis since = unknownSince_.try_emplace(aAccount, now).first->second;
+    return now - since >= kUnknownAccountPause;
+  }
+  Resources after = InUse(aAccount);
+  after += aTakes;
+  CapShare limit = LimitOf(aAccount);
+  CapShare needed = ShareOf(after, cap->second);
+  bool fits = needed <= limit;
+  if (fits) {
+    if (limited_.erase(aAccount) > 0) {
+      LogDecision("cap-left",
+                  { { "account", aAccount },
+                    { "limit", std::to_string(limit) },
+                    { "table", std::to_string(table_) } });
+    }
+    return true;
+  }
+  if (limited_.insert(aAccount).second) {
+    Count("cap_reached");
+    LogDecision("cap-reached",
+                { { "account", aAccount },
+                  { "limit", std::to_string(limit) },
+                  { "needed", std::to_string(needed) },
+                  { "table", std::to_string(table_) } });
+  }
+  return false;
+}
+
+CapReport CapUsage::Report(
+  const std::map<std::string, Resources, std::less<>>& aWaiting) const
+{
+  CapReport report;
+  report.table_ = table_;
+  for (const auto& [account, cap] : caps_) {
+    if (cap == Resources()) {
+      continue;
+    }
+    AccountUse use;
+    use.account_ = account;
+    use.limit_ = LimitOf(account);
+    use.used_ = ShareInUse(account, cap);
+    Resources asked = InUse(account);
+    if (auto waiting = aWaiting.find(account); waiting != aWaiting.end()) {
+      asked += waiting->second;
+    }
+    use.asked_ = std::max(use.used_, ShareOf(asked, cap));
+    report.accounts_.push_back(std::move(use));
+  }
+  return report;
+}
+
+} // namespace coltsfootshed
--- a/lib/Node/JobsConfig.cpp
+++ b/lib/Node/JobsConfig.cpp
@@ -18,4 +18,15 @@
   return best;
 }
 
+std::set<std::string> JobsConfig::ServedServices() const
+{
+  std::set<std::string> names;
+  for (const ServiceConfig& service : services_) {
+    if (!service.spare_) {
+      names.insert(service.name_);
+    }
+  }
+  return names;
+}
+
 } // namespace coltsfootshed
--- a/lib/Node/JobsNode.cpp
+++ b/lib/Node/JobsNode.cpp
@@ -199,15 +199,13 @@
   if (poolManager_ != nullptr) {
     poolManager_->SetConfig(config_);
   }
-  std::set<std::string> duties;
+  for (auto& [service, leader] : leaders_) {
+    leader->SetConfig(*config_);
+  }
+  std::set<std::string> duties = config_->ServedServices();
   if (dependencies_.vms_ != nullptr) {
     duties.insert(keys::kPoolsDuty);
   }
-  for (const ServiceConfig& service : config_->services_) {
-    if (!service.spare_) {
-      duties.insert(service.name_);
-    }
-  }
   election_.SetDuties(std::move(duties));
 }
 
@@ -267,11 +265,15 @@
   options.endedJobRetention_ = settings_.endedJobRetention_;
   options.longestWatch_ = timeouts_.watch_;
   options.remoteDataSlowdown_ = settings_.remoteDataSlowdown_;
+  options.hasPoolManager_ = dependencies_.vms_ != nullptr;
   auto leader =
     std::make_unique<ServiceLeader>(dependencies, options, [this, aDuty] {
       dutiesToAbandon_.push_back(aDuty);
       abandonTimer_.Start(Millis(0));
     });
+  if (config_ != nullptr) {
+    leader->SetConfig(*config_);
+  }
   StartRegistry();
   for (const auto& [id, target] : registry_->Targets()) {
     leader->RegisterTarget(target);
--- a/lib/Node/LeaderRpc.cpp
+++ b/lib/Node/LeaderRpc.cpp
@@ -184,29 +184,41 @@
     });
 }
 
-static std::string EncodeIds(const std::vector<std::string>& aIds)
+/// Encodes what stands in the body of a pool request. Without caps it is the
+/// list of vacating targets alone, as earlier versions read it.
+static std::string EncodeBody(const PoolRequest& aRequest)
 {
-  return Json(aIds).dump();
+  if (!aRequest.caps_) {
+    return Json(aRequest.vacating_).dump();
+  }
+  return Json{
+    { "vacating", aRequest.vacating_ }, { "caps", ToJson(*aRequest.caps_) }
+  }.dump();
 }
 
-static Result<std::vector<std::string>> DecodeIds(const std::string& aText)
+static Result<PoolRequest> DecodeBody(Fence aManagerFence,
+                                      const std::string& aText)
 {
-  using Ids = std::vector<std::string>;
-  return ReadJson<Ids>(
-    aText, kOwnDocument, "decode ids", "", [](const Json& aJson) {
-      return aJson.get<Ids>();
-    });
+  auto read = [&](const Json& aJson) {
+    PoolRequest request{ aManagerFence, {}, {} };
+    request.vacating_ = (aJson.is_array() ? aJson : aJson.at("vacating"))
+                          .get<std::vector<std::string>>();
+    if (aJson.is_object()) {
+      request.caps_ = CapOrderFrom(aJson.at("caps"));
+    }
+    return request;
+  };
+  return ReadJson<PoolRequest>(
+    aText, kOwnDocument, "read a pool request", "", read);
 }
 
-/// Tells a leader of this process which targets must get no new runs, and
+/// Passes a request of the pool manager to a leader of this process, and
 /// returns how busy its pool is.
-static Result<PoolReport> SetVacatingAndReport(
-  ServiceLeader& aLeader,
-  const std::string& aService,
-  Fence aManagerFence,
-  const std::vector<std::string>& aVacating)
+static Result<PoolReport> ApplyAndReport(ServiceLeader& aLeader,
+                                         const std::string& aService,
+                                         const PoolRequest& aRequest)
 {
-  if (!aLeader.SetVacating(aManagerFence, aVacating)) {
+  if (!aLeader.ApplyPoolRequest(aRequest)) {
     return Fail("ask for a pool report",
                 aService,
                 "a manager with a higher fence has asked");
@@ -215,21 +227,20 @@
 }
 
 void LeaderRpc::AskPool(const std::string& aService,
-                        Fence aManagerFence,
-                        const std::vector<std::string>& aVacating,
+                        const PoolRequest& aRequest,
                         std::function<void(Result<PoolReport>)> aOnAnswer)
 {
   ServiceLeader* local = findLocal_(aService);
   if (local != nullptr && local->IsLoaded() && election_.IsConfirmed()) {
-    aOnAnswer(SetVacatingAndReport(*local, aService, aManagerFence, aVacating));
+    aOnAnswer(ApplyAndReport(*local, aService, aRequest));
     return;
   }
   Call(aService,
        { "POST",
          std::string(kPoolPath) + "?service=" + aService +
-           "&fence=" + std::to_string(aManagerFence),
+           "&fence=" + std::to_string(aRequest.managerFence_),
          {},
-         EncodeIds(aVacating) },
+         EncodeBody(aRequest) },
        [onAnswer = std::move(aOnAnswer)](const Result<HttpAnswer>& aAnswer) {
          if (!aAnswer) {
            onAnswer(tl::unexpected(aAnswer.error()));
@@ -288,13 +299,13 @@
     if (!election_.IsConfirmed()) {
       return { kNotLeader, {}, {} };
     }
-    Fence fence = NumberValue(aRequest.target_, "fence");
     std::string service = QueryValue(aRequest.target_, "service");
-    auto vacating = DecodeIds(aRequest.body_);
-    if (!vacating) {
-      return { kMalformed, {}, vacating.error().Text() };
+    auto request =
+      DecodeBody(NumberValue(aRequest.target_, "fence"), aRequest.body_);
+    if (!request) {
+      return { kMalformed, {}, request.error().Text() };
     }
-    auto report = SetVacatingAndReport(*local, service, fence, *vacating);
+    auto report = ApplyAndReport(*local, service, *request);
     return report ? HttpAnswer{ kOk, {}, EncodeReport(*report) }
                   : HttpAnswer{ kSuperseded, {}, report.error().Text() };
   }
--- a/lib/Node/PoolManager.cpp
+++ b/lib/Node/PoolManager.cpp
@@ -9,6 +9,8 @@
 /// Time between planning steps; much shorter than the time in which demand
 /// changes.
 static constexpr Millis kTickInterval{ 100 };
+/// Time between two requests to one leader if there are new orders for it.
+static constexpr Millis kMinRequestInterval{ 30 };
 /// Time between requests for the list of all VMs.
 static constexpr Millis kListInterval{ 2000 };
 /// Longest time until the next list request after an order.
@@ -31,6 +33,10 @@
   , fence_(aFence)
   , holderLease_(aHolderLease)
   , planner_(dependencies_.clock_)
+  , caps_(dependencies_.clock_,
+          dependencies_.store_,
+          fence_,
+          [this](const std::string& aService) { TellSoon(aService); })
   , tickTimer_(dependencies_.base_, [this] { Tick(); })
 {
   tickTimer_.Start(kTickInterval);
@@ -41,6 +47,7 @@
   config_ = aConfig;
   if (config_ != nullptr) {
     planner_.SetServices(config_->services_);
+    caps_.SetConfig(*config_);
   }
 }
 
@@ -123,6 +130,7 @@
   bool reportsOverdue = !pendingReports_.empty();
   RequestReports();
   if (reportsOverdue) {
+    caps_.Step();
     Decide();
   }
   bool changed = planner_.WaveChanges() != savedChanges_;
@@ -167,23 +175,49 @@
 
 void PoolManager::RequestReports()
 {
-  for (const ServiceConfig& service : config_->services_) {
-    if (service.spare_ || !pendingReports_.insert(service.name_).second) {
-      continue;
+  for (const std::string& service : config_->ServedServices()) {
+    RequestReport(service);
+  }
+}
+
+/// Does nothing if the leader has not answered the last request yet.
+void PoolManager::RequestReport(const std::string& aService)
+{
+  if (!pendingReports_.insert(aService).second) {
+    return;
+  }
+  askedAt_[aService] = dependencies_.clock_.Now();
+  PoolRequest request{ fence_,
+                       planner_.VacatingTargets(aService),
+                       caps_.OrderFor(aService) };
+  dependencies_.leaderRpc_.AskPool(
+    aService,
+    request,
+    guard_([this, aService](const Result<PoolReport>& aReport) {
+      OnReport(aService, aReport);
+    }));
+}
+
+void PoolManager::OnReport(const std::string& aService,
+                           const Result<PoolReport>& aReport)
+{
+  pendingReports_.erase(aService);
+  if (aReport) {
+    planner_.SetReport(*aReport);
+    if (aReport->caps_) {
+      caps_.SetReport(aService, *aReport->caps_);
     }
-    dependencies_.leaderRpc_.AskPool(
-      service.name_,
-      fence_,
-      planner_.VacatingTargets(service.name_),
-      guard_([this, name = service.name_](const Result<PoolReport>& aReport) {
-        pendingReports_.erase(name);
-        if (aReport) {
-          planner_.SetReport(*aReport);
-        }
-        if (pendingReports_.empty()) {
-          Decide();
-        }
-      }));
+  }
+  if (pendingReports_.empty()) {
+    caps_.Step();
+    Decide();
+  }
+}
+
+void PoolManager::TellSoon(const std::string& aService)
+{
+  if (dependencies_.clock_.Now() - askedAt_[aService] >= kMinRequestInterval) {
+    RequestReport(aService);
   }
 }
 
--- a/lib/Node/ServiceLeader.cpp
+++ b/lib/Node/ServiceLeader.cpp
@@ -1,5 +1,7 @@
 #include "coltsfootshed/Node/ServiceLeader.h"
 
+#include "coltsfootshed/Node/JobsConfig.h"
+#include "coltsfootshed/Node/PoolRequest.h"
 #include "coltsfootshed/Observe/DecisionLog.h"
 #include "coltsfootshed/Store/FencedWrite.h"
 #include "coltsfootshed/Support/JsonReader.h"
@@ -109,6 +111,38 @@
           scheduler_.SetRosterUnknown();
         }
       }
+      LoadCapShares();
+    }));
+}
+
+/// Reads which shares of the accounts' caps this service has. Skipped while no
+/// account has a cap.
+void ServiceLeader::LoadCapShares()
+{
+  if (!scheduler_.Caps().IsOn()) {
+    LoadProgress();
+    return;
+  }
+  dependencies_.store_.Get(
+    keys::CapShares(),
+    guard_([this](const Result<std::optional<StoreItem>>& aItem) {
+      if (!aItem) {
+        Retry([this] { LoadCapShares(); });
+        return;
+      }
+      if (aItem->has_value()) {
+        auto table = DecodeCapTable((*aItem)->value_);
+        if (table) {
+          scheduler_.Caps().SetShares((*aItem)->revision_,
+                                      SharesOf(*table, options_.service_));
+        } else {
+          // Nothing of capped accounts starts until the pool manager has
+          // written another table.
+          LogStateChange("cap-shares-unreadable",
+                         { { "service", options_.service_ },
+                           { "error", table.error().Text() } });
+        }
+      }
       LoadProgress();
     }));
 }
@@ -260,10 +294,23 @@
   }
 }
 
-bool ServiceLeader::SetVacating(Fence aManagerFence,
-                                std::span<const std::string> aTargets)
+void ServiceLeader::SetConfig(const JobsConfig& aConfig)
 {
-  bool accepted = scheduler_.SetVacating(aManagerFence, aTargets);
+  CapUsage& caps = scheduler_.Caps();
+  caps.SetAccounts(aConfig.accounts_);
+  if (!options_.hasPoolManager_) {
+    caps.SplitEvenly(aConfig.ServedServices().size());
+  }
+  ScheduleDecision();
+}
+
+bool ServiceLeader::ApplyPoolRequest(const PoolRequest& aRequest)
+{
+  bool accepted =
+    scheduler_.SetVacating(aRequest.managerFence_, aRequest.vacating_);
+  if (accepted && aRequest.caps_) {
+    scheduler_.Caps().Apply(aRequest.managerFence_, *aRequest.caps_);
+  }
   ScheduleDecision();
   return accepted;
 }
--- a/lib/Pools/PoolReport.cpp
+++ b/lib/Pools/PoolReport.cpp
@@ -46,6 +46,9 @@
     { "least", aReport.minVms_ },
     { "targets", targets }
   };
+  if (aReport.caps_) {
+    json["caps"] = ToJson(*aReport.caps_);
+  }
   return json.dump();
 }
 
@@ -83,6 +86,9 @@
                                   row.at(3),
                                   inRoster });
     }
+    if (auto caps = aJson.find("caps"); caps != aJson.end()) {
+      report.caps_ = CapReportFrom(*caps);
+    }
     return report;
   };
   return ReadJson<PoolReport>(
--- a/lib/Scheduling/Scheduler.cpp
+++ b/lib/Scheduling/Scheduler.cpp
@@ -40,6 +40,7 @@
   , settings_(std::move(aSettings))
   , createdAt_(aClock.Now())
   , nextRun_(settings_.fence_ * kRunsPerFence)
+  , caps_(aClock)
 {
 }
 
@@ -268,11 +269,16 @@
     report.targets_.push_back(std::move(use));
   }
   report.arrivingCpu_ = arrivals_.ExpectedRate(clock_.Now());
+  ByAccount waiting;
   for (const auto& [id, job] : openJobs_) {
     if (!job->IsEnded()) {
-      AddWaiting(*job, report);
+      AddWaiting(*job, report, waiting);
     }
   }
+  if (caps_.IsOn()) {
+    report.caps_ = caps_.Report(waiting);
+    report.caps_->leader_ = settings_.fence_;
+  }
   return report;
 }
 
@@ -296,10 +302,13 @@
   return { scaled(aWhole.cpu_), scaled(aWhole.memory_), scaled(aWhole.gpu_) };
 }
 
-/// Adds to aReport what the tasks of a job need that could start now and have
-/// no run.
-void Scheduler::AddWaiting(const Job& aJob, PoolReport& aReport) const
+/// Adds to aReport and aByAccount what the tasks of a job need that could start
+/// now and have no run.
+void Scheduler::AddWaiting(const Job& aJob,
+                           PoolReport& aReport,
+                           ByAccount& aByAccount) const
 {
+  const std::string& account = aJob.Record().account_;
   for (const auto& [number, occurrence] : aJob.Occurrences()) {
     double share = CapacityShareOf(RankOf(aJob, occurrence).deadlineClass_);
     for (std::size_t i = 0; i < occurrence.steps_.size(); ++i) {
@@ -320,6 +329,9 @@
           continue;
         }
         aReport.waiting_ += needs;
+        if (!account.empty()) {
+          aByAccount[account] += spec.taskResources_;
+        }
         if (!spec.label_.empty()) {
           aReport.byLabel_[spec.label_] += needs;
         }
@@ -346,6 +358,7 @@
     DropExpiredRuns();
     CheckReady();
   }
+  NoteUnconfirmedRuns();
   if (confirmed) {
     DecideEvacuations();
   }
--- a/lib/Scheduling/SchedulerHolds.cpp
+++ b/lib/Scheduling/SchedulerHolds.cpp
@@ -419,8 +419,19 @@
   }
 }
 
+void Scheduler::AddRun(TargetState& aTarget,
+                       const RunKey& aRun,
+                       const RunState& aState)
+{
+  aTarget.AddRun(aRun, aState);
+  caps_.AddRun(aState.account_, aState.takes_);
+}
+
 void Scheduler::DropRun(TargetState& aTarget, const RunKey& aRun)
 {
+  if (const RunState* run = aTarget.FindRun(aRun)) {
+    caps_.RemoveRun(run->account_, run->takes_);
+  }
   aTarget.RemoveRun(aRun);
   Job* job = FindJob(aRun.first.job_);
   const StepSpec* spec = job == nullptr ? nullptr : job->SpecOf(aRun.first);
@@ -496,6 +507,60 @@
                    { "after_ms", Text((now - createdAt_).count()) } });
 }
 
+/// Notes what accounts may have running on targets that have not answered yet:
+/// tasks without a known run that an earlier scheduler may have started, as far
+/// as they fit there.
+void Scheduler::NoteUnconfirmedRuns()
+{
+  if (!caps_.IsOn() || runsConfirmed_) {
+    return;
+  }
+  runsConfirmed_ = ready_;
+  Resources silent;
+  Resources largest;
+  for (const auto& [id, target] : targets_) {
+    for (auto amount :
+         { &Resources::cpu_, &Resources::memory_, &Resources::gpu_ }) {
+      largest.*amount =
+        std::max(largest.*amount, target.info_.capacity_.*amount);
+    }
+  }
+  for (const auto& [id, target] : targets_) {
+    if (!ready_ && !target.held_ && target.inRoster_) {
+      // The roster names the target, but not its size.
+      bool hasSize = target.info_.capacity_ != Resources();
+      silent += hasSize ? target.info_.capacity_ : largest;
+    }
+  }
+  ByAccount unconfirmed;
+  for (const auto& [id, job] : openJobs_) {
+    if (silent == Resources() || job->Record().account_.empty() ||
+        IsUnknownToEarlierSchedulers(*job)) {
+      continue;
+    }
+    for (const auto& [number, occurrence] : job->Occurrences()) {
+      for (std::size_t i = 0; i < occurrence.steps_.size(); ++i) {
+        const StepSpec& spec = job->Record().spec_.steps_[i];
+        if (!occurrence.IsReady(spec)) {
+          continue;
+        }
+        for (const TaskProgress& task : occurrence.steps_[i].tasks_) {
+          if (!task.done_ && task.liveRuns_.empty() &&
+              !task.wasRunningAtTakeOver_) {
+            unconfirmed[job->Record().account_] += spec.taskResources_;
+          }
+        }
+      }
+    }
+  }
+  for (auto& [account, amount] : unconfirmed) {
+    amount.cpu_ = std::min(amount.cpu_, silent.cpu_);
+    amount.memory_ = std::min(amount.memory_, silent.memory_);
+    amount.gpu_ = std::min(amount.gpu_, silent.gpu_);
+  }
+  caps_.SetUnconfirmed(std::move(unconfirmed));
+}
+
 void Scheduler::ApplyRunning(TargetState& aTarget,
                              const HoldAnswer& aAnswer,
                              Millis aSentAt)
@@ -563,6 +628,7 @@
     run.serves_ = spec.longRunning_ && spec.latencyObjective_ > Millis(0);
     run.latencyObjective_ = spec.latencyObjective_;
     run.label_ = spec.label_;
+    run.account_ = job->Record().account_;
     run.estimate_ = EstimateOf(spec);
     task->liveRuns_.push_back({ aTarget.info_.id_, aRunning.run_ });
     job->Begin();
@@ -575,7 +641,7 @@
                 { "run", std::to_string(aRunning.run_) },
                 { "target", aTarget.info_.id_ },
                 { "known", task != nullptr ? "1" : "0" } });
-  aTarget.AddRun({ aRunning.task_, aRunning.run_ }, run);
+  AddRun(aTarget, { aRunning.task_, aRunning.run_ }, run);
   checkAllRuns_ = true;
 }
 
--- a/lib/Scheduling/SchedulerPlacement.cpp
+++ b/lib/Scheduling/SchedulerPlacement.cpp
@@ -515,6 +515,9 @@
     if (!aStep.MayStart(step.tasks_[i]) || !WantsStart(step.tasks_[i], spec)) {
       continue;
     }
+    if (!caps_.MayStart(record.account_, spec.taskResources_)) {
+      return;
+    }
     TargetState* target = ChooseTarget(aStep, step.tasks_[i], siblingTargets);
     if (target == nullptr) {
       if (record.needsTickets_) {
@@ -531,6 +534,9 @@
 void Scheduler::PlaceGang(const ReadyStep& aStep,
                           std::vector<SchedulerOrder>& aOrders)
 {
+  const JobRecord& record = aStep.job_->Record();
+  const StepSpec& spec =
+    record.spec_.steps_[static_cast<std::size_t>(aStep.step_)];
   StepProgress& step =
     aStep.occurrence_->steps_[static_cast<std::size_t>(aStep.step_)];
   bool idle = std::all_of(
@@ -545,7 +551,10 @@
   std::vector<std::string> siblingTargets;
   RunNumber run = ++nextRun_;
   for (std::size_t i = 0; i < step.tasks_.size(); ++i) {
-    TargetState* target = ChooseTarget(aStep, step.tasks_[i], siblingTargets);
+    bool isWithinCap = caps_.MayStart(record.account_, spec.taskResources_);
+    TargetState* target =
+      isWithinCap ? ChooseTarget(aStep, step.tasks_[i], siblingTargets)
+                  : nullptr;
     if (target == nullptr) {
       for (SchedulerOrder& order : starts) {
         auto& start = std::get<TargetStart>(order);
@@ -553,7 +562,7 @@
                 { start.order_.task_, run });
       }
       unfit_.clear();
-      if (aStep.job_->Record().needsTickets_) {
+      if (record.needsTickets_ && isWithinCap) {
         AskForAdvice(aStep, aOrders);
       }
       return;
@@ -587,6 +596,7 @@
   run.serves_ = spec.longRunning_ && spec.latencyObjective_ > Millis(0);
   run.latencyObjective_ = spec.latencyObjective_;
   run.label_ = spec.label_;
+  run.account_ = record.account_;
   bool far = !spec.dataRack_.empty() && aTarget.Rack() != spec.dataRack_;
   run.estimate_ = Millis(
     static_cast<std::int64_t>(static_cast<double>(EstimateOf(spec).count()) *
@@ -620,7 +630,7 @@
       { "class", std::to_string(static_cast<int>(aStep.rank_.deadlineClass_)) },
       { "waited_ms",
         std::to_string((now - aStep.job_->AcceptedAt()).count()) } });
-  aTarget.AddRun({ name, aRun }, run);
+  AddRun(aTarget, { name, aRun }, run);
   task.liveRuns_.push_back({ aTarget.info_.id_, aRun });
   aOrders.emplace_back(TargetStart{ aTarget.info_.id_, std::move(order) });
 }
