--- a/include/coltsfootshed/Accounts/Account.h
+++ b/include/coltsfootshed/Accounts/Account.h
@@ -6,6 +6,7 @@
 #include "coltsfootshed/Accounts/KeyDigest.h"
 #include "coltsfootshed/Jobs/JobSpec.h"
 
+#include <span>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,10 @@
   bool HasCap() const { return cap_ != Resources(); }
 };
 
+/// Identifies the caps of a configuration: equal for equal caps, whatever else
+/// the configurations hold.
+std::string DigestOfCaps(std::span<const AccountConfig> aAccounts);
+
 } // namespace coltsfootshed
 
 #endif
--- a/include/coltsfootshed/Accounts/CapDivider.h
+++ b/include/coltsfootshed/Accounts/CapDivider.h
@@ -76,6 +76,8 @@
   void DivideAccount(const std::string& aAccount, CapTable& aNext);
   std::vector<Part> PartsOf(const std::string& aAccount) const;
   static void SetGoals(std::vector<Part>& aParts);
+  static void KeepWithinCap(std::vector<Part>& aParts);
+  bool AreUsesKnown() const;
   const Report* FreshReport(const std::string& aService) const;
   void SetCeiling(const std::string& aService,
                   const std::string& aAccount,
@@ -83,6 +85,9 @@
 
   const Clock& clock_;
   std::set<std::string, std::less<>> accounts_; ///< those with a cap
+  std::string capsDigest_;
+  /// Every leader reports under capsDigest_, and no limits exceed the caps.
+  bool isSettled_ = false;
   std::set<std::string> services_;
   bool needsTable_ = true;
   /// A write whose outcome is not known may still be carried out. Until another
--- a/include/coltsfootshed/Accounts/CapShares.h
+++ b/include/coltsfootshed/Accounts/CapShares.h
@@ -28,6 +28,9 @@
 {
   std::uint64_t number_ = 0; ///< rises with each order of one sender
   Revision table_ = 0;       ///< revision of the table of shares
+  /// Digest of the caps under which the sum of all uses and limits is known;
+  /// empty: it is not known.
+  std::string settledCaps_;
   /// The service's shares in that table; nothing if the leader has them.
   std::optional<CapShares> shares_;
   /// Limits below the shares, which are to be taken back.
@@ -48,6 +51,7 @@
 {
   Fence leader_ = 0;   ///< fence of the leader
   Revision table_ = 0; ///< revision of the table that it follows
+  std::string caps_;   ///< digest of the caps that it applies
   std::vector<AccountUse> accounts_;
 };
 
@@ -58,12 +62,20 @@
 nlohmann::json ToJson(const CapReport& aReport);
 CapReport CapReportFrom(const nlohmann::json& aJson);
 
-/// Shares of all services: by account, then service. The stored form is JSON.
-using CapTable = std::map<std::string, CapShares, std::less<>>;
+/// Shares of all services, as stored.
+struct CapTable
+{
+  /// Digest of the caps for which the shares were last found to hold.
+  std::string settledCaps_;
+  /// By account, then service.
+  std::map<std::string, CapShares, std::less<>> shares_;
+
+  bool operator==(const CapTable&) const = default;
+  CapShares SharesOf(std::string_view aService) const;
+};
+
 std::string EncodeCapTable(const CapTable& aTable);
 Result<CapTable> DecodeCapTable(std::string_view aText);
-/// Returns the shares of one service.
-CapShares SharesOf(const CapTable& aTable, std::string_view aService);
 
 } // namespace coltsfootshed
 
--- a/include/coltsfootshed/Accounts/CapUsage.h
+++ b/include/coltsfootshed/Accounts/CapUsage.h
@@ -24,14 +24,18 @@
   explicit CapUsage(const Clock& aClock);
 
   /// Sets the caps that are in force. An account that is no longer among them
-  /// keeps its last cap, as its jobs may still run.
+  /// keeps its last cap, as its jobs may still run. One whose cap is lowered
+  /// starts nothing until an order or table says that the uses in all services
+  /// are known under the new caps, as together they may exceed them.
   void SetAccounts(std::span<const AccountConfig> aAccounts);
   /// Gives each account an equal part of its cap in each of aServices services,
   /// where nobody divides the caps.
   void SplitEvenly(std::size_t aServices);
-  /// Sets the service's shares of the table that the store holds. Ignores a
-  /// table that is older than the known one.
-  void SetShares(Revision aTable, const CapShares& aShares);
+  /// Sets the service's shares of the table that the store holds, which its
+  /// predecessor may have read as well.
+  void LoadShares(Revision aTable,
+                  const CapShares& aShares,
+                  std::string_view aSettledCaps);
   /// Applies an order of the process that divides the caps. Orders that are
   /// older than one applied before change nothing, as they may arrive late.
   void Apply(Fence aFence, const CapOrder& aOrder);
@@ -55,6 +59,9 @@
     const std::map<std::string, Resources, std::less<>>& aWaiting) const;
 
 private:
+  void SetShares(Revision aTable, const CapShares& aShares);
+  void Settle(std::string_view aCaps);
+  bool IsHeld(std::string_view aAccount) const;
   CapShare LimitOf(std::string_view aAccount) const;
   Resources InUse(std::string_view aAccount) const;
   CapShare ShareInUse(std::string_view aAccount, const Resources& aCap) const;
@@ -62,6 +69,9 @@
   const Clock& clock_;
   bool isOn_ = false;
   std::map<std::string, Resources, std::less<>> caps_; ///< of known accounts
+  std::string capsDigest_;
+  /// Accounts that start nothing until the uses under capsDigest_ are known.
+  std::set<std::string, std::less<>> held_;
   /// When a start of an account that is not known was first asked for.
   std::map<std::string, Millis, std::less<>> unknownSince_;
   std::optional<CapShare> evenShare_;
--- a/lib/Accounts/CapDivider.cpp
+++ b/lib/Accounts/CapDivider.cpp
@@ -28,6 +28,9 @@
       accounts_.insert(account.name_);
     }
   }
+  std::string digest = DigestOfCaps(aAccounts);
+  isSettled_ &= digest == capsDigest_;
+  capsDigest_ = std::move(digest);
 }
 
 void CapDivider::SetServices(std::set<std::string> aServices)
@@ -65,11 +68,12 @@
   CapOrder order;
   order.number_ = ++orders_;
   order.table_ = revision_;
+  order.settledCaps_ = isSettled_ ? capsDigest_ : std::string();
   auto report = reports_.find(aService);
   bool hasTable =
     report != reports_.end() && report->second.content_.table_ == revision_;
   if (!hasTable) {
-    order.shares_ = SharesOf(table_, aService);
+    order.shares_ = table_.SharesOf(aService);
   }
   if (auto found = ceilings_.find(aService); found != ceilings_.end()) {
     order.ceilings_ = found->second;
@@ -112,8 +116,9 @@
   const std::string& aAccount) const
 {
   std::set<std::string> services = services_;
-  auto shares = table_.find(aAccount);
-  if (shares != table_.end()) {
+  auto shares = table_.shares_.find(aAccount);
+  bool isInTable = shares != table_.shares_.end();
+  if (isInTable) {
     for (const auto& [service, share] : shares->second) {
       services.insert(service);
     }
@@ -121,7 +126,7 @@
   std::vector<Part> parts;
   for (const std::string& service : services) {
     Part part{ service };
-    if (shares != table_.end()) {
+    if (isInTable) {
       auto share = shares->second.find(service);
       part.share_ = share == shares->second.end() ? 0 : share->second;
     }
@@ -177,13 +182,48 @@
   }
 }
 
+/// After a cap was lowered, more may run than it allows. Raises no limit then,
+/// but by what no service uses or may use.
+void CapDivider::KeepWithinCap(std::vector<Part>& aParts)
+{
+  CapShare free = kWholeCap;
+  bool isOver = false;
+  for (const Part& part : aParts) {
+    bool reports = part.use_ != nullptr;
+    free -=
+      reports ? std::max(part.use_->used_, part.use_->limit_) : part.share_;
+    isOver |= reports && part.use_->used_ > part.share_;
+  }
+  if (!isOver) {
+    return;
+  }
+  CapShare raise =
+    std::max<CapShare>(0, free) / static_cast<CapShare>(aParts.size());
+  for (Part& part : aParts) {
+    if (part.use_ != nullptr) {
+      part.goal_ = std::min(
+        part.goal_, std::max(part.use_->used_, part.use_->limit_ + raise));
+    }
+  }
+}
+
+/// Returns true if every leader reports under the caps that are in force.
+bool CapDivider::AreUsesKnown() const
+{
+  return std::all_of(
+    services_.begin(), services_.end(), [&](const std::string& aService) {
+      const Report* report = FreshReport(aService);
+      return report != nullptr && report->content_.caps_ == capsDigest_;
+    });
+}
+
 /// Divides one account's cap anew if a service needs more than it has.
 void CapDivider::DivideAccount(const std::string& aAccount, CapTable& aNext)
 {
   std::vector<Part> parts = PartsOf(aAccount);
-  if (table_.count(aAccount) == 0) {
+  if (table_.shares_.count(aAccount) == 0) {
     for (const Part& part : parts) {
-      aNext[aAccount][part.service_] =
+      aNext.shares_[aAccount][part.service_] =
         kWholeCap / static_cast<CapShare>(parts.size());
     }
     return;
@@ -228,7 +268,7 @@
     if (part.next_ < part.share_) {
       lowered_.insert(part.service_);
     }
-    aNext[aAccount][part.service_] = part.next_;
+    aNext.shares_[aAccount][part.service_] = part.next_;
   }
 }
 
@@ -243,6 +283,10 @@
   for (const std::string& account : accounts_) {
     DivideAccount(account, next);
   }
+  isSettled_ = AreUsesKnown();
+  if (isSettled_) {
+    next.settledCaps_ = capsDigest_;
+  }
   if (!mayWrite || (next == table_ && !mayChangeLate_)) {
     return std::nullopt;
   }
--- a/lib/Accounts/CapShares.cpp
+++ b/lib/Accounts/CapShares.cpp
@@ -20,6 +20,7 @@
 {
   Json json = { { "number", aOrder.number_ },
                 { "table", aOrder.table_ },
+                { "settled", aOrder.settledCaps_ },
                 { "ceilings", aOrder.ceilings_ } };
   if (aOrder.shares_) {
     json["shares"] = *aOrder.shares_;
@@ -33,6 +34,7 @@
   order.number_ =
     static_cast<std::uint64_t>(IntegerOf(aJson.at("number"), kAnyCount));
   order.table_ = static_cast<Revision>(IntegerOf(aJson.at("table"), kAnyCount));
+  order.settledCaps_ = aJson.at("settled");
   order.ceilings_ = SharesFrom(aJson.at("ceilings"));
   if (auto shares = aJson.find("shares"); shares != aJson.end()) {
     order.shares_ = SharesFrom(*shares);
@@ -48,6 +50,7 @@
   }
   return { { "leader", aReport.leader_ },
            { "table", aReport.table_ },
+           { "caps", aReport.caps_ },
            { "accounts", rows } };
 }
 
@@ -57,6 +60,7 @@
   report.leader_ = static_cast<Fence>(IntegerOf(aJson.at("leader"), kAnyCount));
   report.table_ =
     static_cast<Revision>(IntegerOf(aJson.at("table"), kAnyCount));
+  report.caps_ = aJson.at("caps");
   for (const Json& row : aJson.at("accounts")) {
     report.accounts_.push_back({ row.at(0),
                                  IntegerOf(row.at(1), kAnyShare),
@@ -66,21 +70,35 @@
   return report;
 }
 
+CapShares CapTable::SharesOf(std::string_view aService) const
+{
+  CapShares shares;
+  for (const auto& [account, byService] : shares_) {
+    if (auto share = byService.find(aService); share != byService.end()) {
+      shares[account] = share->second;
+    }
+  }
+  return shares;
+}
+
 std::string EncodeCapTable(const CapTable& aTable)
 {
-  Json json = Json::object();
-  for (const auto& [account, shares] : aTable) {
-    json[account] = shares;
+  Json shares = Json::object();
+  for (const auto& [account, byService] : aTable.shares_) {
+    shares[account] = byService;
   }
-  return json.dump();
+  return Json{
+    { "settled", aTable.settledCaps_ }, { "shares", shares }
+  }.dump();
 }
 
 Result<CapTable> DecodeCapTable(std::string_view aText)
 {
   auto read = [](const Json& aJson) {
     CapTable table;
-    for (const auto& [account, shares] : aJson.items()) {
-      table[account] = SharesFrom(shares);
+    table.settledCaps_ = aJson.at("settled");
+    for (const auto& [account, byService] : aJson.at("shares").items()) {
+      table.shares_[account] = SharesFrom(byService);
     }
     return table;
   };
@@ -88,15 +106,4 @@
     aText, kOwnDocument, "read the shares of caps", "", read);
 }
 
-CapShares SharesOf(const CapTable& aTable, std::string_view aService)
-{
-  CapShares shares;
-  for (const auto& [account, byService] : aTable) {
-    if (auto share = byService.find(aService); share != byService.end()) {
-      shares[account] = share->second;
-    }
-  }
-  return shares;
-}
-
 } // namespace coltsfootshed
--- a/lib/Accounts/CapUsage.cpp
+++ b/lib/Accounts/CapUsage.cpp
@@ -34,14 +34,31 @@
 {
 }
 
+/// Returns true if some amount is limited to less than before.
+static bool IsLowered(const Resources& aBefore, const Resources& aNow)
+{
+  return std::any_of(
+    std::begin(kAmounts), std::end(kAmounts), [&](auto aAmount) {
+      bool wasLess = aBefore.*aAmount != 0 && aBefore.*aAmount <= aNow.*aAmount;
+      return aNow.*aAmount != 0 && !wasLess;
+    });
+}
+
 void CapUsage::SetAccounts(std::span<const AccountConfig> aAccounts)
 {
+  // At first, the caps may be lower than those that a predecessor applied.
+  bool isFirst = capsDigest_.empty();
   isOn_ = false;
   for (const AccountConfig& account : aAccounts) {
-    caps_[account.name_] = account.cap_;
+    auto [entry, isNew] = caps_.try_emplace(account.name_, account.cap_);
+    if (isNew ? isFirst : IsLowered(entry->second, account.cap_)) {
+      held_.insert(account.name_);
+    }
+    entry->second = account.cap_;
     unknownSince_.erase(account.name_);
     isOn_ |= account.HasCap();
   }
+  capsDigest_ = DigestOfCaps(aAccounts);
 }
 
 void CapUsage::SplitEvenly(std::size_t aServices)
@@ -50,6 +67,15 @@
     kWholeCap / static_cast<CapShare>(std::max<std::size_t>(1, aServices));
 }
 
+void CapUsage::LoadShares(Revision aTable,
+                          const CapShares& aShares,
+                          std::string_view aSettledCaps)
+{
+  SetShares(aTable, aShares);
+  Settle(aSettledCaps);
+}
+
+/// Ignores a table that is older than the known one.
 void CapUsage::SetShares(Revision aTable, const CapShares& aShares)
 {
   if (aTable > table_) {
@@ -58,6 +84,19 @@
   }
 }
 
+/// Notes that the uses in all services are known under the caps aCaps.
+void CapUsage::Settle(std::string_view aCaps)
+{
+  if (aCaps == capsDigest_) {
+    held_.clear();
+  }
+}
+
+bool CapUsage::IsHeld(std::string_view aAccount) const
+{
+  return !evenShare_ && held_.count(aAccount) > 0;
+}
+
 void CapUsage::Apply(Fence aFence, const CapOrder& aOrder)
 {
   bool isOld = aFence < orderFence_ ||
@@ -72,6 +111,7 @@
     SetShares(aOrder.table_, *aOrder.shares_);
   }
   ceilings_ = aOrder.ceilings_;
+  Settle(aOrder.settledCaps_);
 }
 
 void CapUsage::AddRun(const std::string& aAccount, const Resources& aTakes)
@@ -149,7 +189,8 @@
   after += aTakes;
   CapShare limit = LimitOf(aAccount);
   CapShare needed = ShareOf(after, cap->second);
-  bool fits = needed <= limit;
+  bool fits =
+    cap->second == Resources() || (needed <= limit && !IsHeld(aAccount));
   if (fits) {
     if (limited_.erase(aAccount) > 0) {
       LogDecision("cap-left",
@@ -175,6 +216,7 @@
 {
   CapReport report;
   report.table_ = table_;
+  report.caps_ = capsDigest_;
   for (const auto& [account, cap] : caps_) {
     if (cap == Resources()) {
       continue;
--- a/lib/Node/ServiceLeader.cpp
+++ b/lib/Node/ServiceLeader.cpp
@@ -133,8 +133,9 @@
       if (aItem->has_value()) {
         auto table = DecodeCapTable((*aItem)->value_);
         if (table) {
-          scheduler_.Caps().SetShares((*aItem)->revision_,
-                                      SharesOf(*table, options_.service_));
+          scheduler_.Caps().LoadShares((*aItem)->revision_,
+                                       table->SharesOf(options_.service_),
+                                       table->settledCaps_);
         } else {
           // Nothing of capped accounts starts until the pool manager has
           // written another table.
