Scheduler: accounts start work in weighted fair order within a class of urgency

What callers saw: one account that sent many times its usual delayed all others alike, as starts went by slack alone.

Change: steps of equal deadline class and priority are placed account by account, by start-time fair queueing (Admission/StrideOrder); within an account the order stays. TenantQueue of the request interface uses the same class: a tenant that returns is level with the one served last, where before it was behind the one that was furthest ahead. Without accounts the order is as before.

--- a/include/coltsfootshed/Admission/TenantQueue.h
+++ b/include/coltsfootshed/Admission/TenantQueue.h
@@ -3,6 +3,7 @@
 #ifndef COLTSFOOTSHED_ADMISSION_TENANTQUEUE_H
 #define COLTSFOOTSHED_ADMISSION_TENANTQUEUE_H
 
+#include "coltsfootshed/Admission/StrideOrder.h"
 #include "coltsfootshed/Config/Document.h"
 #include "coltsfootshed/Support/Clock.h"
 
@@ -51,7 +52,6 @@
   struct TenantEntry
   {
     std::deque<QueuedRequest> requests_;
-    double pass_ = 0; ///< virtualTime_ on entry, plus 1 / weight per Pop()
     std::int64_t weight_ = 1;
   };
   using TenantEntries = std::map<std::string, TenantEntry, std::less<>>;
@@ -59,8 +59,8 @@
   TenantEntry& EntryFor(const QueuedRequest& aRequest);
   TenantEntries::iterator EraseIfEmpty(TenantEntries::iterator aEntry);
 
-  TenantEntries entries_;  ///< only tenants with waiting requests
-  double virtualTime_ = 0; ///< highest pass so far
+  TenantEntries entries_; ///< only tenants with waiting requests
+  StrideOrder order_;     ///< a request counts as work of 1
   std::int64_t size_ = 0;
 };
 
--- a/include/coltsfootshed/Scheduling/Scheduler.h
+++ b/include/coltsfootshed/Scheduling/Scheduler.h
@@ -6,6 +6,7 @@
 #define COLTSFOOTSHED_SCHEDULING_SCHEDULER_H
 
 #include "coltsfootshed/Accounts/CapUsage.h"
+#include "coltsfootshed/Admission/StrideOrder.h"
 #include "coltsfootshed/Pools/PoolPlanner.h"
 #include "coltsfootshed/Scheduling/ArrivalRate.h"
 #include "coltsfootshed/Scheduling/ImageEstimates.h"
@@ -178,6 +179,8 @@
   /// with a higher fence has called before. Ids of unknown targets are ignored.
   bool SetVacating(Fence aManagerFence, std::span<const std::string> aTargets);
 
+  /// Sets the weights and caps of accounts.
+  void SetAccounts(std::span<const AccountConfig> aAccounts);
   /// What accounts have running here, and how much of their caps this service
   /// has.
   CapUsage& Caps() { return caps_; }
@@ -338,6 +341,10 @@
 
   // Placement.
   void DecideStarts(std::vector<SchedulerOrder>& aOrders);
+  void PlaceInFairOrder(std::span<const ReadyStep> aSteps,
+                        std::vector<SchedulerOrder>& aOrders);
+  void Place(const ReadyStep& aStep, std::vector<SchedulerOrder>& aOrders);
+  std::int64_t WeightOf(std::string_view aAccount) const;
   void DropEndedJobs();
   std::vector<ReadyStep> ReadySteps();
   StepRank RankOf(const Job& aJob, const Occurrence& aOccurrence) const;
@@ -413,6 +420,8 @@
   ImageEstimates estimates_;
   ArrivalRate arrivals_;
   CapUsage caps_;
+  std::map<std::string, std::int64_t, std::less<>> weights_; ///< by account
+  StrideOrder accountOrder_;   ///< work in core-milliseconds
   bool runsConfirmed_ = false; ///< caps_ knows that this scheduler is ready
   int savesInFlight_ = 0;
   Millis saveRetryAt_{ 0 };
--- a/lib/Admission/TenantQueue.cpp
+++ b/lib/Admission/TenantQueue.cpp
@@ -7,10 +7,7 @@
 
 TenantQueue::TenantEntry& TenantQueue::EntryFor(const QueuedRequest& aRequest)
 {
-  auto [entry, added] = entries_.try_emplace(aRequest.tenant_);
-  if (added) {
-    entry->second.pass_ = virtualTime_;
-  }
+  auto entry = entries_.try_emplace(aRequest.tenant_).first;
   entry->second.weight_ = std::max<std::int64_t>(1, aRequest.weight_);
   return entry->second;
 }
@@ -39,20 +36,17 @@
 QueuedRequest TenantQueue::Pop()
 {
   assert(size_ > 0 && "callers check Size() first");
-  auto next =
-    std::min_element(entries_.begin(),
-                     entries_.end(),
-                     [](const auto& aLeft, const auto& aRight) {
-                       return aLeft.second.pass_ < aRight.second.pass_;
-                     });
+  auto next = std::min_element(entries_.begin(),
+                               entries_.end(),
+                               [this](const auto& aLeft, const auto& aRight) {
+                                 return order_.PassOf(aLeft.first) <
+                                        order_.PassOf(aRight.first);
+                               });
   TenantEntry& entry = next->second;
   QueuedRequest request = std::move(entry.requests_.front());
   entry.requests_.pop_front();
   --size_;
-  entry.pass_ += 1.0 / static_cast<double>(entry.weight_);
-  // A tenant whose requests have all been taken rejoins at the highest pass,
-  // so it gets no turn until the others have caught up.
-  virtualTime_ = std::max(virtualTime_, entry.pass_);
+  order_.Charge(next->first, 1.0, entry.weight_);
   EraseIfEmpty(next);
   return request;
 }
--- a/lib/Node/ServiceLeader.cpp
+++ b/lib/Node/ServiceLeader.cpp
@@ -297,10 +297,9 @@
 
 void ServiceLeader::SetConfig(const JobsConfig& aConfig)
 {
-  CapUsage& caps = scheduler_.Caps();
-  caps.SetAccounts(aConfig.accounts_);
+  scheduler_.SetAccounts(aConfig.accounts_);
   if (!options_.hasPoolManager_) {
-    caps.SplitEvenly(aConfig.ServedServices().size());
+    scheduler_.Caps().SplitEvenly(aConfig.ServedServices().size());
   }
   ScheduleDecision();
 }
--- a/lib/Scheduling/Scheduler.cpp
+++ b/lib/Scheduling/Scheduler.cpp
@@ -65,6 +65,15 @@
            : std::min(settings_.lease_, settings_.unconfirmedLease_);
 }
 
+void Scheduler::SetAccounts(std::span<const AccountConfig> aAccounts)
+{
+  caps_.SetAccounts(aAccounts);
+  weights_.clear();
+  for (const AccountConfig& account : aAccounts) {
+    weights_[account.name_] = account.weight_;
+  }
+}
+
 Job* Scheduler::FindJob(std::string_view aId)
 {
   auto found = jobs_.find(aId);
--- a/lib/Scheduling/SchedulerPlacement.cpp
+++ b/lib/Scheduling/SchedulerPlacement.cpp
@@ -237,13 +237,82 @@
   // Due times, overdue runs and expired pauses cause no event.
   WakeBy(clock_.Now() + Millis(200));
   unfit_.clear();
-  for (const ReadyStep& step : ReadySteps()) {
-    if (step.job_->Record()
-          .spec_.steps_[static_cast<std::size_t>(step.step_)]
-          .gang_) {
-      PlaceGang(step, aOrders);
+  std::vector<ReadyStep> ready = ReadySteps();
+  auto isSameUrgency = [](const ReadyStep& aLeft, const ReadyStep& aRight) {
+    return aLeft.rank_.deadlineClass_ == aRight.rank_.deadlineClass_ &&
+           aLeft.rank_.priority_ == aRight.rank_.priority_;
+  };
+  for (auto first = ready.begin(); first != ready.end();) {
+    auto last = std::find_if_not(first, ready.end(), [&](const auto& aStep) {
+      return isSameUrgency(*first, aStep);
+    });
+    if (weights_.empty()) {
+      std::for_each(
+        first, last, [&](const ReadyStep& aStep) { Place(aStep, aOrders); });
     } else {
-      PlaceStep(step, aOrders);
+      PlaceInFairOrder({ first, last }, aOrders);
+    }
+    first = last;
+  }
+}
+
+void Scheduler::Place(const ReadyStep& aStep,
+                      std::vector<SchedulerOrder>& aOrders)
+{
+  if (aStep.job_->Record()
+        .spec_.steps_[static_cast<std::size_t>(aStep.step_)]
+        .gang_) {
+    PlaceGang(aStep, aOrders);
+  } else {
+    PlaceStep(aStep, aOrders);
+  }
+}
+
+std::int64_t Scheduler::WeightOf(std::string_view aAccount) const
+{
+  auto found = weights_.find(aAccount);
+  return found == weights_.end() ? 1 : found->second;
+}
+
+/// Places steps of equal urgency, which are sorted by rank, in weighted fair
+/// order of their accounts. Answers an account that sends many times its usual
+/// in a peak: its jobs wait for each other rather than those of others for
+/// them.
+void Scheduler::PlaceInFairOrder(std::span<const ReadyStep> aSteps,
+                                 std::vector<SchedulerOrder>& aOrders)
+{
+  std::map<std::string_view, std::vector<const ReadyStep*>> byAccount;
+  for (const ReadyStep& step : aSteps) {
+    byAccount[step.job_->Record().account_].push_back(&step);
+  }
+  std::set<std::pair<double, std::string_view>> turns;
+  std::map<std::string_view, std::size_t> placed;
+  for (const auto& [account, steps] : byAccount) {
+    turns.emplace(accountOrder_.PassOf(account), account);
+  }
+  while (!turns.empty()) {
+    std::string_view account = turns.begin()->second;
+    turns.erase(turns.begin());
+    const std::vector<const ReadyStep*>& steps = byAccount.at(account);
+    const ReadyStep& step = *steps[placed[account]++];
+    std::size_t before = aOrders.size();
+    Place(step, aOrders);
+    auto starts =
+      std::count_if(aOrders.begin() + static_cast<std::ptrdiff_t>(before),
+                    aOrders.end(),
+                    [](const SchedulerOrder& aOrder) {
+                      return std::holds_alternative<TargetStart>(aOrder);
+                    });
+    if (starts > 0) {
+      const StepSpec& spec =
+        step.job_->Record().spec_.steps_[static_cast<std::size_t>(step.step_)];
+      double work = static_cast<double>(starts) *
+                    static_cast<double>(spec.taskResources_.cpu_) *
+                    static_cast<double>(EstimateOf(spec).count());
+      accountOrder_.Charge(account, work, WeightOf(account));
+    }
+    if (placed[account] < steps.size()) {
+      turns.emplace(accountOrder_.PassOf(account), account);
     }
   }
 }
