Scheduler: jobs beyond an account's agreed rate start after those within it

A leader counts the jobs of each account against its weight (jobs a second). What is beyond starts after jobs within the rate, also late ones, and adds neither arriving work nor more than a quarter of its waiting work to what the pool needs.

Limit: a leader sees only its own service's jobs, so what an account sends to several services at once counts in each by itself.

--- a/include/coltsfootshed/Jobs/Job.h
+++ b/include/coltsfootshed/Jobs/Job.h
@@ -131,6 +131,8 @@
   Revision progressRevision_ = 0;     ///< store revision of the saved progress
   Revision created_ = 0;              ///< store revision that created the job
   bool isProgressUnreadable_ = false; ///< its tasks may be done
+  /// Its account had sent more than its agreed rate when it arrived; not saved.
+  bool isBeyondRate_ = false;
 
 private:
   struct SavedProgress
--- a/include/coltsfootshed/Scheduling/Scheduler.h
+++ b/include/coltsfootshed/Scheduling/Scheduler.h
@@ -5,6 +5,7 @@
 #ifndef COLTSFOOTSHED_SCHEDULING_SCHEDULER_H
 #define COLTSFOOTSHED_SCHEDULING_SCHEDULER_H
 
+#include "coltsfootshed/Accounts/AgreedRate.h"
 #include "coltsfootshed/Accounts/CapUsage.h"
 #include "coltsfootshed/Admission/StrideOrder.h"
 #include "coltsfootshed/Pools/PoolPlanner.h"
@@ -113,6 +114,7 @@
   Started,     ///< can be in time, and some of its tasks have started
   InTime,      ///< in time if it starts now, with some margin
   Late,        ///< has less value, or is in time without that margin
+  BeyondRate,  ///< has not started, and is beyond its account's agreed rate
   NoValue,     ///< no longer has any value to its client
 };
 
@@ -421,6 +423,7 @@
   ArrivalRate arrivals_;
   CapUsage caps_;
   std::map<std::string, std::int64_t, std::less<>> weights_; ///< by account
+  AgreedRate agreedRate_;
   StrideOrder accountOrder_;   ///< work in core-milliseconds
   bool runsConfirmed_ = false; ///< caps_ knows that this scheduler is ready
   int savesInFlight_ = 0;
--- a/lib/Scheduling/Scheduler.cpp
+++ b/lib/Scheduling/Scheduler.cpp
@@ -15,9 +15,9 @@
 /// an earlier scheduler has counted them.
 static constexpr Millis kMaxArrivalAge{ 500 };
 /// Shares of the waiting work of late jobs, and of jobs that no longer have any
-/// value, that count towards the VMs a pool needs. Such jobs mostly run on
-/// capacity that exists anyway; the shares add some, so that none waits for
-/// long.
+/// value or are beyond an agreed rate, that count towards the VMs a pool needs.
+/// Such jobs mostly run on capacity that exists anyway; the shares add some, so
+/// that none waits for long.
 static constexpr double kLateCapacityShare = 0.5;
 static constexpr double kNoValueCapacityShare = 0.25;
 /// Delay before a failed save is tried again; changes accumulate into one
@@ -41,6 +41,7 @@
   , createdAt_(aClock.Now())
   , nextRun_(settings_.fence_ * kRunsPerFence)
   , caps_(aClock)
+  , agreedRate_(aClock)
 {
 }
 
@@ -110,8 +111,16 @@
   if (age < kMaxArrivalAge) {
     // Counts the work from its arrival, as jobs that arrived over time may
     // become known together.
-    arrivals_.Add(clock_.Now() - std::max(age, Millis(0)),
-                  WorkOf(job->Record().spec_));
+    // What is beyond an agreed rate is no reason to take VMs from other pools.
+    auto weight = weights_.find(job->Record().account_);
+    job->isBeyondRate_ = weight != weights_.end() && !job->IsLongRunning() &&
+                         !agreedRate_.Take(weight->first, weight->second);
+    if (job->isBeyondRate_) {
+      Count("jobs_beyond_rate");
+    } else {
+      arrivals_.Add(clock_.Now() - std::max(age, Millis(0)),
+                    WorkOf(job->Record().spec_));
+    }
   }
   auto added = jobs_.emplace(id, std::move(job)).first;
   openJobs_.emplace(added->first, added->second.get());
@@ -296,6 +305,7 @@
   switch (aClass) {
     case DeadlineClass::Late:
       return kLateCapacityShare;
+    case DeadlineClass::BeyondRate:
     case DeadlineClass::NoValue:
       return kNoValueCapacityShare;
     default:
--- a/lib/Scheduling/SchedulerPlacement.cpp
+++ b/lib/Scheduling/SchedulerPlacement.cpp
@@ -103,6 +103,11 @@
   Millis end = now + left;
   Millis slack = begin + objective - end;
   bool started = HasStarted(aOccurrence);
+  if (aJob.isBeyondRate_ && !started && end <= begin + objective) {
+    return { DeadlineClass::BeyondRate,
+             record.priority_,
+             static_cast<double>(slack.count()) };
+  }
   Millis margin(static_cast<std::int64_t>(kEstimateMargin *
                                           static_cast<double>(left.count())));
   if (slack >= (started ? Millis(0) : margin)) {
@@ -110,7 +115,8 @@
              record.priority_,
              static_cast<double>(slack.count()) };
   }
-  bool hasValue = end <= begin + kNoValueFactor * objective;
+  bool hasValue = end <= begin + kNoValueFactor * objective &&
+                  (started || !aJob.isBeyondRate_);
   return { hasValue ? DeadlineClass::Late : DeadlineClass::NoValue,
            record.priority_,
            static_cast<double>(left.count()) };
