LeaderElection: the last leader has no right to a duty that another can carry

Cause: the last leader of a duty came first, whatever its size.

Change: candidates are ranked by the load that a further duty means for their processor share and link (LeaderRanking, a decision without a network); the last leader wins unless another VM has twice the room. Members publish their bandwidth; entries without it are read as before.

--- a/include/coltsfootshed/Node/LeaderElection.h
+++ b/include/coltsfootshed/Node/LeaderElection.h
@@ -30,6 +30,7 @@
     std::string node_;        ///< name of this entry VM
     Endpoint peers_;          ///< where this VM serves other entry VMs
     double share_ = 1;        ///< of one CPU core; larger VMs lead more duties
+    double linkMbps_ = 0;     ///< bandwidth of its link; 0: not known
     Millis minLease_{ 1000 }; ///< shortest lease that the store grants
     Millis longestWatch_{ 1000 }; ///< wait of a watch for events
   };
@@ -77,6 +78,7 @@
   {
     Endpoint peers_;
     double share_ = 1;
+    double linkMbps_ = 0;
   };
 
   void OnSnapshot(std::vector<StoreItem> aItems) override;
@@ -94,9 +96,8 @@
   void Register();
   /// Tries to gain one vacant duty for which it is this VM's turn.
   void Campaign();
-  /// Returns the VM at a rank, 0 being the best, among the candidates to lead
-  /// a duty; empty if there are fewer members.
-  std::string PreferredNode(const std::string& aDuty, std::size_t aRank) const;
+  /// Returns the members, the best to lead a duty first.
+  std::vector<std::string> Ranking(const std::string& aDuty) const;
   void TryToLead(const std::string& aDuty);
 
   const Clock& clock_;
--- a/include/coltsfootshed/Node/NodeSettings.h
+++ b/include/coltsfootshed/Node/NodeSettings.h
@@ -20,6 +20,7 @@
   std::optional<Endpoint> advice_;
   std::optional<Endpoint> vmService_;  ///< service that moves and maintains VMs
   double cpuShare_ = 1;                ///< of one CPU core
+  double linkMbps_ = 0;                ///< of its network link; 0: not known
   Millis minLease_{ 1000 };            ///< shortest lease that the store grants
   Millis stopGrace_{ 6000 };           ///< from stop signal to kill
   Millis longestTargetLease_{ 10000 }; ///< longest lease that a target grants
--- a/lib/Node/JobsNode.cpp
+++ b/lib/Node/JobsNode.cpp
@@ -46,6 +46,7 @@
               { settings_.node_,
                 settings_.peers_,
                 settings_.cpuShare_,
+                settings_.linkMbps_,
                 settings_.minLease_,
                 timeouts_.watch_ },
               [this](const std::string& aDuty, Revision aRevision) {
--- a/lib/Node/LeaderElection.cpp
+++ b/lib/Node/LeaderElection.cpp
@@ -1,5 +1,6 @@
 #include "coltsfootshed/Node/LeaderElection.h"
 
+#include "coltsfootshed/Node/LeaderRanking.h"
 #include "coltsfootshed/Observe/DecisionLog.h"
 #include "coltsfootshed/Store/Keys.h"
 #include "coltsfootshed/Support/JsonReader.h"
@@ -144,7 +145,8 @@
 void LeaderElection::Register()
 {
   Json value = { { "peers", options_.peers_.Text() },
-                 { "share", options_.share_ } };
+                 { "share", options_.share_ },
+                 { "link_mbps", options_.linkMbps_ } };
   Transaction transaction;
   transaction.puts_.push_back(
     { keys::Node(options_.node_), value.dump(), lease_ });
@@ -167,32 +169,22 @@
     });
 }
 
-/// Ranks VMs by the number of their duties relative to their size, and by
-/// rendezvous hashing where that is equal. The previous leader comes first.
-std::string LeaderElection::PreferredNode(const std::string& aDuty,
-                                          std::size_t aRank) const
+std::vector<std::string> LeaderElection::Ranking(const std::string& aDuty) const
 {
   std::map<std::string_view, int> dutyCounts;
   for (const auto& [duty, leadership] : leaders_) {
     ++dutyCounts[leadership.node_];
   }
-  std::vector<std::tuple<double, XXH64_hash_t, std::string>> ranked;
+  auto last = lastLeader_.find(aDuty);
+  std::vector<LeaderCandidate> candidates;
   for (const auto& [name, member] : members_) {
-    auto counted = dutyCounts.find(name);
-    int count = counted == dutyCounts.end() ? 0 : counted->second;
-    std::string hashInput = aDuty;
-    hashInput.append("/").append(name);
-    // The previous leader knows most of the duty's state, and a pool manager
-    // need not wait before it orders VMs that it ordered itself.
-    auto last = lastLeader_.find(aDuty);
-    bool wasLeader = last != lastLeader_.end() && last->second == name;
-    ranked.emplace_back(wasLeader ? 0.0
-                                  : (count + 1) / std::max(member.share_, 0.01),
-                        XXH3_64bits(hashInput.data(), hashInput.size()),
-                        name);
+    candidates.push_back({ name,
+                           member.share_,
+                           member.linkMbps_,
+                           dutyCounts[name],
+                           last != lastLeader_.end() && last->second == name });
   }
-  std::sort(ranked.begin(), ranked.end());
-  return aRank < ranked.size() ? std::get<2>(ranked[aRank]) : std::string();
+  return RankCandidates(aDuty, std::move(candidates));
 }
 
 void LeaderElection::Campaign()
@@ -208,12 +200,14 @@
       continue;
     }
     Millis since = vacantSince_.try_emplace(duty, now).first->second;
-    auto rank = static_cast<std::size_t>((now - since) / kRankDelay);
-    for (std::size_t i = 0; mayLead && i <= rank; ++i) {
-      if (PreferredNode(duty, i) == options_.node_) {
-        TryToLead(duty);
-        return; // the next duty once the outcome of this one is known
-      }
+    if (!mayLead) {
+      continue;
+    }
+    std::vector<std::string> ranking = Ranking(duty);
+    auto own = std::find(ranking.begin(), ranking.end(), options_.node_);
+    if (own - ranking.begin() <= (now - since) / kRankDelay) {
+      TryToLead(duty);
+      return; // the next duty once the outcome of this one is known
     }
   }
 }
@@ -284,10 +278,11 @@
   auto read = [](const Json& aJson) {
     auto peers = ParseEndpoint(aJson.at("peers").get<std::string>());
     auto share = Field<double>(aJson, "share", 1.0);
-    if (!peers || !(share > 0)) {
-      throw std::invalid_argument("no valid address or share");
+    auto linkMbps = Field<double>(aJson, "link_mbps", 0.0);
+    if (!peers || !(share > 0) || !(linkMbps >= 0)) {
+      throw std::invalid_argument("no valid address, share or bandwidth");
     }
-    return Member{ *peers, share };
+    return Member{ *peers, share, linkMbps };
   };
   auto member =
     ReadJson<Member>(aValue, kOwnDocument, "read a member", aNode, read);
--- a/unittests/Node/LeaderElectionTest.cpp
+++ b/unittests/Node/LeaderElectionTest.cpp
@@ -109,7 +109,8 @@
       base_,
       clock_,
       *store_,
-      LeaderElection::Options{ "vm1", { "10.0.0.1", 7000 }, 1.0, Millis(1000) },
+      LeaderElection::Options{
+        "vm1", { "10.0.0.1", 7000 }, 1.0, 1000.0, Millis(1000) },
       [this](const std::string& aDuty, Revision aRevision) {
         duties_[aDuty] = aRevision;
       });
