LeaderElection: an overloaded leader hands its duty to a VM that can carry it

Change: a leader whose decisions are late (smoothed, 50 ms) and that has led for 5 s looks for a member with a third of its load. It stops first, as a successor takes jobs that are accepted under its leadership to be unknown to earlier leaders, then writes the other's name and lease into the leader's key, on condition that it still holds it. If the store does not answer, it repeats that until another leads, so that its lease does not keep the duty from others.

--- a/include/coltsfootshed/Node/LeaderElection.h
+++ b/include/coltsfootshed/Node/LeaderElection.h
@@ -5,6 +5,7 @@
 #ifndef COLTSFOOTSHED_NODE_LEADERELECTION_H
 #define COLTSFOOTSHED_NODE_LEADERELECTION_H
 
+#include "coltsfootshed/Node/LeaderRanking.h"
 #include "coltsfootshed/Settings/Settings.h"
 #include "coltsfootshed/Store/PrefixFollower.h"
 
@@ -33,16 +34,23 @@
     double linkMbps_ = 0;     ///< bandwidth of its link; 0: not known
     Millis minLease_{ 1000 }; ///< shortest lease that the store grants
     Millis longestWatch_{ 1000 }; ///< wait of a watch for events
+    /// Shortest time between two planned changes of a duty's leader.
+    Millis minLeadTime_{ 5000 };
   };
   /// Called when this VM begins to lead a duty, with the revision of the
   /// leader's key, and with revision 0 when it ceases to.
   using OnLeadership = std::function<void(const std::string&, Revision)>;
 
+  /// Returns whether this VM is too short of processor time for a duty that it
+  /// leads.
+  using IsOverloaded = std::function<bool(const std::string&)>;
+
   LeaderElection(event_base* aBase,
                  const Clock& aClock,
                  KeyValueStore& aStore,
                  Options aOptions,
-                 OnLeadership aOnLeadership);
+                 OnLeadership aOnLeadership,
+                 IsOverloaded aIsOverloaded);
 
   /// Sets the duties that need a leader. This VM goes on leading a duty that is
   /// no longer among them.
@@ -79,12 +87,14 @@
     Endpoint peers_;
     double share_ = 1;
     double linkMbps_ = 0;
+    LeaseId lease_ = 0;
+    Millis since_{ 0 };
   };
 
   void OnSnapshot(std::vector<StoreItem> aItems) override;
   void OnEvent(const StoreEvent& aEvent) override;
   void Apply(const StoreItem& aItem);
-  void ApplyMember(const std::string& aNode, const std::string& aValue);
+  void ApplyMember(const std::string& aNode, const StoreItem& aItem);
   void Remove(std::string_view aKey);
   void OnLeaseLost();
   void EndLeaseOfEarlierProcess(LeaseId aLease);
@@ -98,12 +108,21 @@
   void Campaign();
   /// Returns the members, the best to lead a duty first.
   std::vector<std::string> Ranking(const std::string& aDuty) const;
+  /// Returns a member as candidate to lead a duty.
+  LeaderCandidate CandidateFor(const std::string& aDuty,
+                               const std::string& aNode) const;
+  /// Begins to hand over a led duty if another VM can carry it far better.
+  void ConsiderHandOvers();
+  void BeginHandOver(const std::string& aDuty);
+  /// Gives the leader's key of an abandoned duty to another VM.
+  void PassOn(const std::string& aDuty);
   void TryToLead(const std::string& aDuty);
 
   const Clock& clock_;
   KeyValueStore& store_;
   Options options_;
   OnLeadership onLeadership_;
+  IsOverloaded isOverloaded_;
   Backoff backoff_;
   Timer keepTimer_;
   Timer campaignTimer_;
@@ -124,6 +143,10 @@
   /// Fences, by duty, that were found to be too low.
   std::map<std::string, Revision> abandoned_;
   std::map<std::string, Millis> vacantSince_;
+  std::map<std::string, Millis> ledSince_; ///< by duty that this VM leads
+  /// Duties that this VM hands over, with the fence under which it led.
+  std::map<std::string, Revision> handOvers_;
+  std::set<std::string> pendingHandOvers_; ///< whose transaction is in flight
   /// The current or, for a vacant duty, the previous leader.
   std::map<std::string, std::string> lastLeader_;
   std::set<std::string> pendingCampaigns_;
--- a/include/coltsfootshed/Node/LeaderRanking.h
+++ b/include/coltsfootshed/Node/LeaderRanking.h
@@ -7,6 +7,8 @@
 #ifndef COLTSFOOTSHED_NODE_LEADERRANKING_H
 #define COLTSFOOTSHED_NODE_LEADERRANKING_H
 
+#include "coltsfootshed/Support/Clock.h"
+
 #include <string>
 #include <string_view>
 #include <vector>
@@ -34,6 +36,20 @@
   std::string_view aDuty,
   std::vector<LeaderCandidate> aCandidates);
 
+/// What decides whether a leader hands its duty over.
+struct HandOverInput
+{
+  bool isOverloaded_ = false; ///< the leader's VM is short of processor time
+  double ownLoad_ = 0;        ///< of the leader's VM, with the duty
+  double otherLoad_ = 0; ///< of the best other VM, if it had the duty as well
+  Millis ledFor_{ 0 };
+  Millis otherKnownFor_{ 0 }; ///< since the other VM became a member
+};
+
+/// Returns true if the duty should move now. The gain has to be large, as the
+/// successor reads the saved state and asks all targets before it continues.
+bool ShouldHandOver(const HandOverInput& aInput, Millis aMinLeadTime);
+
 } // namespace coltsfootshed
 
 #endif
--- a/include/coltsfootshed/Node/ServiceLeader.h
+++ b/include/coltsfootshed/Node/ServiceLeader.h
@@ -71,6 +71,9 @@
   /// Returns true if it knows all jobs that were accepted longer than aMaxAge
   /// ago, and no other leader can have started some of them.
   bool KnowsJobs(Millis aMaxAge) const;
+  /// Returns how late this leader's decisions have been of late, as its VM was
+  /// short of processor time.
+  Millis Lateness() const { return lateness_; }
   /// Returns true once the saved state is loaded.
   bool IsLoaded() const { return loaded_; }
   const Scheduler& State() const { return scheduler_; }
@@ -89,6 +92,8 @@
 
   /// Makes the scheduler decide soon.
   void ScheduleDecision();
+  void StartDecisionTimer(Millis aDelay);
+  void NoteLateness();
   /// Sends the scheduler's current orders.
   void Decide();
   void Execute(SchedulerOrder& aOrder);
@@ -122,6 +127,8 @@
   std::function<void()> retryStep_;
   bool loaded_ = false;
   bool decisionScheduled_ = false;
+  Millis decisionDueAt_{ 0 };
+  Millis lateness_{ 0 }; ///< smoothed
   Millis decisionDelay_ = DecisionDelayAfter(Millis(0));
   bool deciding_ = false;
   bool steppedDown_ = false;
--- a/lib/Node/JobsNode.cpp
+++ b/lib/Node/JobsNode.cpp
@@ -27,6 +27,10 @@
 /// them.
 static constexpr Millis kRunLease{ 5000 };
 
+/// A leader whose decisions are this late is overloaded: a job of two steps
+/// would spend a tenth of a second and more on waiting for decisions.
+static constexpr Millis kOverloadLateness{ 50 };
+
 static std::uint64_t SeedOf(std::string_view aNode)
 {
   return XXH3_64bits(aNode.data(), aNode.size());
@@ -40,18 +44,23 @@
   , settings_(std::move(aSettings))
   , timeouts_(aTimeouts)
   , format_(std::move(aFormat))
-  , election_(dependencies_.base_,
-              dependencies_.clock_,
-              dependencies_.store_,
-              { settings_.node_,
-                settings_.peers_,
-                settings_.cpuShare_,
-                settings_.linkMbps_,
-                settings_.minLease_,
-                timeouts_.watch_ },
-              [this](const std::string& aDuty, Revision aRevision) {
-                OnLeadership(aDuty, aRevision);
-              })
+  , election_(
+      dependencies_.base_,
+      dependencies_.clock_,
+      dependencies_.store_,
+      { settings_.node_,
+        settings_.peers_,
+        settings_.cpuShare_,
+        settings_.linkMbps_,
+        settings_.minLease_,
+        timeouts_.watch_ },
+      [this](const std::string& aDuty, Revision aRevision) {
+        OnLeadership(aDuty, aRevision);
+      },
+      [this](const std::string& aDuty) {
+        const ServiceLeader* leader = FindLeader(aDuty);
+        return leader != nullptr && leader->Lateness() >= kOverloadLateness;
+      })
   , leaderRpc_(
       dependencies_.base_,
       dependencies_.clock_,
--- a/lib/Node/LeaderElection.cpp
+++ b/lib/Node/LeaderElection.cpp
@@ -1,6 +1,5 @@
 #include "coltsfootshed/Node/LeaderElection.h"
 
-#include "coltsfootshed/Node/LeaderRanking.h"
 #include "coltsfootshed/Observe/DecisionLog.h"
 #include "coltsfootshed/Store/Keys.h"
 #include "coltsfootshed/Support/JsonReader.h"
@@ -30,11 +29,13 @@
                                const Clock& aClock,
                                KeyValueStore& aStore,
                                Options aOptions,
-                               OnLeadership aOnLeadership)
+                               OnLeadership aOnLeadership,
+                               IsOverloaded aIsOverloaded)
   : clock_(aClock)
   , store_(aStore)
   , options_(std::move(aOptions))
   , onLeadership_(std::move(aOnLeadership))
+  , isOverloaded_(std::move(aIsOverloaded))
   , backoff_(kFirstRetryDelay,
              kMaxRetryDelay,
              XXH3_64bits(options_.node_.data(), options_.node_.size()))
@@ -169,27 +170,117 @@
     });
 }
 
-std::vector<std::string> LeaderElection::Ranking(const std::string& aDuty) const
+LeaderCandidate LeaderElection::CandidateFor(const std::string& aDuty,
+                                             const std::string& aNode) const
 {
-  std::map<std::string_view, int> dutyCounts;
-  for (const auto& [duty, leadership] : leaders_) {
-    ++dutyCounts[leadership.node_];
-  }
+  const Member& member = members_.find(aNode)->second;
+  auto duties =
+    std::count_if(leaders_.begin(), leaders_.end(), [&](const auto& aEntry) {
+      return aEntry.second.node_ == aNode && aEntry.first != aDuty;
+    });
   auto last = lastLeader_.find(aDuty);
+  return { aNode,
+           member.share_,
+           member.linkMbps_,
+           static_cast<int>(duties),
+           last != lastLeader_.end() && last->second == aNode };
+}
+
+std::vector<std::string> LeaderElection::Ranking(const std::string& aDuty) const
+{
   std::vector<LeaderCandidate> candidates;
   for (const auto& [name, member] : members_) {
-    candidates.push_back({ name,
-                           member.share_,
-                           member.linkMbps_,
-                           dutyCounts[name],
-                           last != lastLeader_.end() && last->second == name });
+    candidates.push_back(CandidateFor(aDuty, name));
   }
   return RankCandidates(aDuty, std::move(candidates));
 }
 
+void LeaderElection::ConsiderHandOvers()
+{
+  if (!IsConfirmed() || leaving_ || members_.count(options_.node_) == 0) {
+    return;
+  }
+  Millis now = clock_.Now();
+  for (const auto& [duty, fence] : ledDuties_) {
+    if (fence == 0 || !isOverloaded_(duty)) {
+      continue;
+    }
+    std::vector<std::string> ranking = Ranking(duty);
+    const std::string& best = ranking.front();
+    LeaderCandidate own = CandidateFor(duty, options_.node_);
+    LeaderCandidate other = CandidateFor(duty, best);
+    HandOverInput input{ true,
+                         LoadWithFurtherDuty(own),
+                         LoadWithFurtherDuty(other),
+                         now - ledSince_[duty],
+                         now - members_.at(best).since_ };
+    if (best != options_.node_ &&
+        ShouldHandOver(input, options_.minLeadTime_)) {
+      BeginHandOver(duty);
+      return; // changes ledDuties_; the next duty follows at the next campaign
+    }
+  }
+}
+
+/// Stops leading before the key changes: a successor takes jobs that are
+/// accepted under its leadership to be unknown to all earlier leaders.
+void LeaderElection::BeginHandOver(const std::string& aDuty)
+{
+  Revision fence = ledDuties_.at(aDuty);
+  LogDecision("hand-over",
+              { { "duty", aDuty }, { "fence", std::to_string(fence) } });
+  Count("hand_overs");
+  handOvers_[aDuty] = fence;
+  Abandon(aDuty);
+  PassOn(aDuty);
+}
+
+void LeaderElection::PassOn(const std::string& aDuty)
+{
+  Revision fence = handOvers_.at(aDuty);
+  const Leadership* leader = LeaderOf(aDuty);
+  if (leader == nullptr || leader->revision_ != fence) {
+    handOvers_.erase(aDuty); // another VM leads, or the duty is vacant
+    return;
+  }
+  if (!pendingHandOvers_.insert(aDuty).second) {
+    return;
+  }
+  Transaction transaction;
+  transaction.conditions_.push_back({ keys::Leader(aDuty), fence });
+  std::vector<std::string> ranking = Ranking(aDuty);
+  auto other =
+    std::find_if(ranking.begin(), ranking.end(), [this](const auto& aNode) {
+      return aNode != options_.node_ && members_.at(aNode).lease_ != 0;
+    });
+  if (other == ranking.end()) {
+    transaction.deletes_.push_back(keys::Leader(aDuty));
+  } else {
+    transaction.puts_.push_back(
+      { keys::Leader(aDuty), *other, members_.at(*other).lease_ });
+  }
+  store_.Commit(transaction, [this, aDuty](const CommitResult& aResult) {
+    pendingHandOvers_.erase(aDuty);
+    bool isOver = aResult.end_ == CommitEnd::Committed ||
+                  aResult.end_ == CommitEnd::ConditionFailed;
+    if (isOver) {
+      handOvers_.erase(aDuty);
+    }
+    LogStateChange("hand-over-ended",
+                   { { "duty", aDuty },
+                     { "done", isOver ? "1" : "0" },
+                     { "reason", aResult.reason_ } });
+  });
+}
+
 void LeaderElection::Campaign()
 {
   campaignTimer_.Start(kCampaignInterval);
+  ConsiderHandOvers();
+  for (auto next = handOvers_.begin(); next != handOvers_.end();) {
+    std::string duty = (next++)->first; // PassOn() may erase it
+    PassOn(duty);
+  }
   Millis now = clock_.Now();
   bool mayLead = registered_ && !leaving_ && follower_.HasSnapshot() &&
                  now - registeredAt_ >= kSettlingTime &&
@@ -234,11 +325,17 @@
 {
   std::map<std::string, Leadership, std::less<>> before;
   std::swap(before, leaders_);
-  members_.clear();
+  auto membersBefore = std::exchange(members_, {});
   unreadableMembers_.clear();
   for (const StoreItem& item : aItems) {
     Apply(item);
   }
+  for (auto& [name, member] : members_) {
+    auto known = membersBefore.find(name);
+    if (known != membersBefore.end() && known->second.lease_ == member.lease_) {
+      member.since_ = known->second.since_;
+    }
+  }
   for (const auto& [duty, leadership] : before) {
     UpdateDuty(duty);
   }
@@ -257,7 +354,7 @@
 {
   std::string node(keys::SuffixAfter(aItem.key_, keys::kNodePrefix));
   if (!node.empty()) {
-    ApplyMember(node, aItem.value_);
+    ApplyMember(node, aItem);
     return;
   }
   std::string duty(keys::SuffixAfter(aItem.key_, keys::kLeaderPrefix));
@@ -273,7 +370,7 @@
 
 /// Adds or updates a member. One whose entry cannot be read is not a member.
 void LeaderElection::ApplyMember(const std::string& aNode,
-                                 const std::string& aValue)
+                                 const StoreItem& aItem)
 {
   auto read = [](const Json& aJson) {
     auto peers = ParseEndpoint(aJson.at("peers").get<std::string>());
@@ -282,10 +379,11 @@
     if (!peers || !(share > 0) || !(linkMbps >= 0)) {
       throw std::invalid_argument("no valid address, share or bandwidth");
     }
-    return Member{ *peers, share, linkMbps };
+    Member member{ *peers, share, linkMbps };
+    return member;
   };
   auto member =
-    ReadJson<Member>(aValue, kOwnDocument, "read a member", aNode, read);
+    ReadJson<Member>(aItem.value_, kOwnDocument, "read a member", aNode, read);
   if (!member) {
     LogStateChange("member-unreadable",
                    { { "vm", aNode }, { "error", member.error().Text() } });
@@ -294,6 +392,11 @@
     return;
   }
   unreadableMembers_.erase(aNode);
+  auto known = members_.find(aNode);
+  bool isSameProcess =
+    known != members_.end() && known->second.lease_ == aItem.lease_;
+  member->lease_ = aItem.lease_;
+  member->since_ = isSameProcess ? known->second.since_ : clock_.Now();
   members_[aNode] = std::move(*member);
 }
 
@@ -350,6 +453,7 @@
       "leadership",
       { { "duty", aDuty }, { "fence", std::to_string(revision) } });
     ledDuties_[aDuty] = revision;
+    ledSince_[aDuty] = clock_.Now();
     onLeadership_(aDuty, revision);
   }
 }
--- a/lib/Node/LeaderRanking.cpp
+++ b/lib/Node/LeaderRanking.cpp
@@ -17,6 +17,11 @@
 /// The last leader's load counts at this part.
 static constexpr double kLastLeaderFactor = 0.5;
 
+/// A hand-over pays if the other VM is at most at this part of the load.
+static constexpr double kHandOverLoad = 1.0 / 3;
+/// A VM that has just become a member may be about to fail again.
+static constexpr Millis kMinMembership{ 2000 };
+
 double LoadWithFurtherDuty(const LeaderCandidate& aCandidate)
 {
   double room = aCandidate.share_;
@@ -48,4 +53,11 @@
   return names;
 }
 
+bool ShouldHandOver(const HandOverInput& aInput, Millis aMinLeadTime)
+{
+  return aInput.isOverloaded_ && aInput.ledFor_ >= aMinLeadTime &&
+         aInput.otherKnownFor_ >= kMinMembership &&
+         aInput.otherLoad_ <= kHandOverLoad * aInput.ownLoad_;
+}
+
 } // namespace coltsfootshed
--- a/lib/Node/ServiceLeader.cpp
+++ b/lib/Node/ServiceLeader.cpp
@@ -15,6 +15,8 @@
 /// Pause between watches for jobs and cancel marks. It may be long, as they are
 /// also announced directly.
 static constexpr Millis kWorkWatchPause{ 700 };
+/// Number of decisions over which lateness is smoothed.
+static constexpr int kLatenessWindow = 16;
 /// Most ended jobs that one transaction deletes. With three keys each and the
 /// fence, it stays within Transaction::kMaxEntries.
 static constexpr std::size_t kMaxDeletedJobs = 10;
@@ -319,13 +321,27 @@
 {
   if (!decisionScheduled_ && loaded_ && !deciding_) {
     decisionScheduled_ = true;
-    decisionTimer_.Start(decisionDelay_);
+    StartDecisionTimer(decisionDelay_);
   }
 }
 
+void ServiceLeader::StartDecisionTimer(Millis aDelay)
+{
+  decisionDueAt_ = dependencies_.clock_.Now() + std::max(aDelay, Millis(0));
+  decisionTimer_.Start(aDelay);
+}
+
+void ServiceLeader::NoteLateness()
+{
+  Millis late = dependencies_.clock_.Now() - decisionDueAt_;
+  lateness_ += (late - lateness_) / kLatenessWindow;
+  Observe("decision_late_ms", late);
+}
+
 void ServiceLeader::Decide()
 {
   decisionScheduled_ = false;
+  NoteLateness();
   if (steppedDown_) {
     return;
   }
@@ -343,7 +359,7 @@
   }
   deciding_ = false;
   Millis pause = scheduler_.NextDue() - dependencies_.clock_.Now();
-  decisionTimer_.Start(std::max(pause, decisionDelay_));
+  StartDecisionTimer(std::max(pause, decisionDelay_));
 }
 
 void ServiceLeader::Execute(SchedulerOrder& aOrder)
--- a/unittests/Node/LeaderElectionTest.cpp
+++ b/unittests/Node/LeaderElectionTest.cpp
@@ -18,6 +18,9 @@
   CPPUNIT_TEST(LostLeaseEndsLeadership);
   CPPUNIT_TEST(LostLeaseEndsLeadershipWithoutWatch);
   CPPUNIT_TEST(MalformedMembersAreNoMembers);
+  CPPUNIT_TEST(AnOverloadedLeaderHandsItsDutyOver);
+  CPPUNIT_TEST(AHandOverOutlivesASilentStore);
+  CPPUNIT_TEST(NoDutyIsHandedToAVmOfItsSize);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -102,18 +105,74 @@
     CPPUNIT_ASSERT(!election_->PeerEndpointOf("vm2").has_value());
   }
 
+  void AnOverloadedLeaderHandsItsDutyOver()
+  {
+    StartSmallBeside(R"({"peers":"10.0.0.2:7000","share":9.0})");
+    isOverloaded_ = true;
+    RunUntil([this] { return LeaderInStore() == "vm2"; });
+    // The old leader stopped before the key changed.
+    CPPUNIT_ASSERT_EQUAL(Revision(0), duties_.at("a"));
+    CPPUNIT_ASSERT_EQUAL(kOtherLease,
+                         store_->items_.at(keys::Leader("a")).lease_);
+  }
+
+  /// The leader has stopped when it finds that the store does not answer; its
+  /// key must not keep the duty from others.
+  void AHandOverOutlivesASilentStore()
+  {
+    StartSmallBeside(R"({"peers":"10.0.0.2:7000","share":9.0})");
+    store_->lateKey_ = keys::Leader("a");
+    isOverloaded_ = true;
+    RunUntil([this] { return duties_.at("a") == 0; });
+    CPPUNIT_ASSERT_EQUAL(std::string("vm1"), LeaderInStore());
+    store_->lateKey_.clear();
+    RunUntil([this] { return LeaderInStore() == "vm2"; });
+    CPPUNIT_ASSERT_EQUAL(Revision(0), duties_.at("a"));
+  }
+
+  void NoDutyIsHandedToAVmOfItsSize()
+  {
+    StartSmallBeside(R"({"peers":"10.0.0.2:7000","share":1.0})");
+    isOverloaded_ = true;
+    Millis end = clock_.Now() + Millis(3000);
+    RunUntil([&] { return clock_.Now() >= end; });
+    CPPUNIT_ASSERT_EQUAL(std::string("vm1"), LeaderInStore());
+  }
+
 private:
+  static constexpr LeaseId kOtherLease = 7;
+
+  /// Makes this VM lead, then adds vm2.
+  void StartSmallBeside(const char* aMember)
+  {
+    Start();
+    RunUntil([this] { return duties_.count("a") > 0; });
+    ++store_->revision_;
+    store_->Put(keys::Node("vm2"), aMember, kOtherLease);
+  }
+  std::string LeaderInStore() const
+  {
+    auto found = store_->items_.find(keys::Leader("a"));
+    return found == store_->items_.end() ? "" : found->second.value_;
+  }
+
   void Start()
   {
     election_ = std::make_unique<LeaderElection>(
       base_,
       clock_,
       *store_,
-      LeaderElection::Options{
-        "vm1", { "10.0.0.1", 7000 }, 1.0, 1000.0, Millis(1000) },
+      LeaderElection::Options{ "vm1",
+                               { "10.0.0.1", 7000 },
+                               1.0,
+                               1000.0,
+                               Millis(1000),
+                               Millis(1000),
+                               Millis(500) },
       [this](const std::string& aDuty, Revision aRevision) {
         duties_[aDuty] = aRevision;
-      });
+      },
+      [this](const std::string&) { return isOverloaded_; });
     election_->SetDuties({ "a" });
   }
 
@@ -132,6 +191,7 @@
   event_base* base_ = nullptr;
   std::unique_ptr<FakeStore> store_;
   std::map<std::string, Revision> duties_;
+  bool isOverloaded_ = false;
   std::unique_ptr<LeaderElection> election_;
 };
 
