Accounts: a new cap applies once all leaders have reported under it

Looking for its cause showed that a new leader held the jobs of all accounts while the caps of one had changed and some leader did not report.

Now the table names the cap of each account that leaders may apply. A higher cap applies, and a lowered one stops holding its account's starts, once all leaders have reported under the new configuration and what runs is within the cap; other accounts go on.

--- a/include/coltsfootshed/Accounts/CapDivider.h
+++ b/include/coltsfootshed/Accounts/CapDivider.h
@@ -74,6 +74,7 @@
   };
 
   void DivideAccount(const std::string& aAccount, CapTable& aNext);
+  void SettleAccount(const std::string& aAccount, CapTable& aNext) const;
   std::vector<Part> PartsOf(const std::string& aAccount) const;
   static void SetGoals(std::vector<Part>& aParts);
   static void KeepWithinCap(std::vector<Part>& aParts);
@@ -85,9 +86,9 @@
 
   const Clock& clock_;
   std::set<std::string, std::less<>> accounts_; ///< those with a cap
+  Caps caps_;
   std::string capsDigest_;
-  /// Every leader reports under capsDigest_, and no limits exceed the caps.
-  bool isSettled_ = false;
+  bool areUsesKnown_ = false; ///< every leader reports under capsDigest_
   std::set<std::string> services_;
   bool needsTable_ = true;
   /// A write whose outcome is not known may still be carried out. Until another
--- a/include/coltsfootshed/Accounts/CapShares.h
+++ b/include/coltsfootshed/Accounts/CapShares.h
@@ -20,6 +20,9 @@
 using CapShare = std::int64_t;
 inline constexpr CapShare kWholeCap = 10000;
 
+/// Caps by account.
+using Caps = std::map<std::string, Resources, std::less<>>;
+
 /// Shares of one service, by account.
 using CapShares = std::map<std::string, CapShare, std::less<>>;
 
@@ -28,9 +31,11 @@
 {
   std::uint64_t number_ = 0; ///< rises with each order of one sender
   Revision table_ = 0;       ///< revision of the table of shares
-  /// Digest of the caps under which the sum of all uses and limits is known;
-  /// empty: it is not known.
+  /// Digest of the caps under which all leaders have reported; empty: it is not
+  /// known that all have.
   std::string settledCaps_;
+  /// Accounts for which that is not enough, as more runs than their cap allows.
+  std::vector<std::string> unsettled_;
   /// The service's shares in that table; nothing if the leader has them.
   std::optional<CapShares> shares_;
   /// Limits below the shares, which are to be taken back.
@@ -65,8 +70,9 @@
 /// Shares of all services, as stored.
 struct CapTable
 {
-  /// Digest of the caps for which the shares were last found to hold.
-  std::string settledCaps_;
+  /// The caps that leaders may apply, by account: no leader applies a higher
+  /// one, and the uses in all services are within these.
+  Caps settledCaps_;
   /// By account, then service.
   std::map<std::string, CapShares, std::less<>> shares_;
 
--- a/include/coltsfootshed/Accounts/CapUsage.h
+++ b/include/coltsfootshed/Accounts/CapUsage.h
@@ -23,10 +23,10 @@
 public:
   explicit CapUsage(const Clock& aClock);
 
-  /// Sets the caps that are in force. An account that is no longer among them
-  /// keeps its last cap, as its jobs may still run. One whose cap is lowered
-  /// starts nothing until an order or table says that the uses in all services
-  /// are known under the new caps, as together they may exceed them.
+  /// Sets the caps of the configuration. An account that is no longer among
+  /// them keeps its last cap, as its jobs may still run. One whose cap is
+  /// lowered starts nothing until an order says that what runs in all services
+  /// is within the new cap; a higher cap applies from such an order on.
   void SetAccounts(std::span<const AccountConfig> aAccounts);
   /// Gives each account an equal part of its cap in each of aServices services,
   /// where nobody divides the caps.
@@ -35,7 +35,7 @@
   /// predecessor may have read as well.
   void LoadShares(Revision aTable,
                   const CapShares& aShares,
-                  std::string_view aSettledCaps);
+                  const Caps& aSettledCaps);
   /// Applies an order of the process that divides the caps. Orders that are
   /// older than one applied before change nothing, as they may arrive late.
   void Apply(Fence aFence, const CapOrder& aOrder);
@@ -60,7 +60,7 @@
 
 private:
   void SetShares(Revision aTable, const CapShares& aShares);
-  void Settle(std::string_view aCaps);
+  void Settle(const CapOrder& aOrder);
   bool IsHeld(std::string_view aAccount) const;
   CapShare LimitOf(std::string_view aAccount) const;
   Resources InUse(std::string_view aAccount) const;
@@ -68,9 +68,10 @@
 
   const Clock& clock_;
   bool isOn_ = false;
-  std::map<std::string, Resources, std::less<>> caps_; ///< of known accounts
-  std::string capsDigest_;
-  /// Accounts that start nothing until the uses under capsDigest_ are known.
+  Caps configured_;    ///< of known accounts
+  std::string digest_; ///< of configured_
+  Caps applied_;       ///< at most configured_
+  /// Accounts that start nothing, as their uses may exceed applied_.
   std::set<std::string, std::less<>> held_;
   /// When a start of an account that is not known was first asked for.
   std::map<std::string, Millis, std::less<>> unknownSince_;
--- a/include/coltsfootshed/Node/ServiceLeader.h
+++ b/include/coltsfootshed/Node/ServiceLeader.h
@@ -74,6 +74,11 @@
   /// Returns how late this leader's decisions have been of late, as its VM was
   /// short of processor time.
   Millis Lateness() const { return lateness_; }
+  /// Returns true if the known configuration assigns a queue to this service.
+  bool KnowsQueue(std::string_view aQueue) const
+  {
+    return queues_.count(aQueue) > 0;
+  }
   /// Returns true once the saved state is loaded.
   bool IsLoaded() const { return loaded_; }
   const Scheduler& State() const { return scheduler_; }
@@ -137,7 +142,8 @@
   std::map<std::string, std::pair<std::string, Revision>> progress_;
   /// When a job was first seen as ended, by job.
   std::map<std::string, Millis> endedSince_;
-  std::unique_ptr<PrefixFollower> work_; ///< jobs and cancel marks
+  std::set<std::string, std::less<>> queues_; ///< of this service
+  std::unique_ptr<PrefixFollower> work_;      ///< jobs and cancel marks
   AliveGuard guard_;
 };
 
--- a/lib/Accounts/CapDivider.cpp
+++ b/lib/Accounts/CapDivider.cpp
@@ -23,13 +23,15 @@
 void CapDivider::SetAccounts(std::span<const AccountConfig> aAccounts)
 {
   accounts_.clear();
+  caps_.clear();
   for (const AccountConfig& account : aAccounts) {
     if (account.HasCap()) {
       accounts_.insert(account.name_);
+      caps_[account.name_] = account.cap_;
     }
   }
   std::string digest = DigestOfCaps(aAccounts);
-  isSettled_ &= digest == capsDigest_;
+  areUsesKnown_ &= digest == capsDigest_;
   capsDigest_ = std::move(digest);
 }
 
@@ -68,7 +70,13 @@
   CapOrder order;
   order.number_ = ++orders_;
   order.table_ = revision_;
-  order.settledCaps_ = isSettled_ ? capsDigest_ : std::string();
+  order.settledCaps_ = areUsesKnown_ ? capsDigest_ : std::string();
+  for (const auto& [account, cap] : caps_) {
+    auto settled = table_.settledCaps_.find(account);
+    if (settled == table_.settledCaps_.end() || settled->second != cap) {
+      order.unsettled_.push_back(account);
+    }
+  }
   auto report = reports_.find(aService);
   bool hasTable =
     report != reports_.end() && report->second.content_.table_ == revision_;
@@ -255,7 +263,8 @@
   bool isWorthwhile =
     wanted >= kMinRaise ||
     std::any_of(parts.begin(), parts.end(), [](const Part& aPart) {
-      return aPart.share_ == 0 && aPart.goal_ > 0;
+      return (aPart.share_ == 0 && aPart.goal_ > 0) ||
+             (aPart.use_ != nullptr && aPart.use_->used_ > aPart.share_);
     });
   if (!isWorthwhile || free <= 0) {
     return;
@@ -272,6 +281,28 @@
   }
 }
 
+/// Notes in the next table that leaders may apply the account's cap, if what
+/// runs is within it, whatever else starts within the shares. The reports are
+/// of the same time as the shares they refer to, as only those of the current
+/// table count.
+void CapDivider::SettleAccount(const std::string& aAccount,
+                               CapTable& aNext) const
+{
+  if (!areUsesKnown_) {
+    return;
+  }
+  CapShare most = 0;
+  for (const Part& part : PartsOf(aAccount)) {
+    const CapShares& next = aNext.shares_[aAccount];
+    auto share = next.find(part.service_);
+    CapShare used = part.use_ == nullptr ? 0 : part.use_->used_;
+    most += std::max(used, share == next.end() ? 0 : share->second);
+  }
+  if (most <= kWholeCap) {
+    aNext.settledCaps_[aAccount] = caps_.at(aAccount);
+  }
+}
+
 std::optional<CapTableWrite> CapDivider::Decide()
 {
   if (needsTable_ || written_ || accounts_.empty()) {
@@ -280,12 +311,10 @@
   bool mayWrite = clock_.Now() >= nextWriteAt_;
   lowered_.clear();
   CapTable next = table_;
+  areUsesKnown_ = AreUsesKnown();
   for (const std::string& account : accounts_) {
     DivideAccount(account, next);
-  }
-  isSettled_ = AreUsesKnown();
-  if (isSettled_) {
-    next.settledCaps_ = capsDigest_;
+    SettleAccount(account, next);
   }
   if (!mayWrite || (next == table_ && !mayChangeLate_)) {
     return std::nullopt;
--- a/lib/Accounts/CapShares.cpp
+++ b/lib/Accounts/CapShares.cpp
@@ -21,6 +21,7 @@
   Json json = { { "number", aOrder.number_ },
                 { "table", aOrder.table_ },
                 { "settled", aOrder.settledCaps_ },
+                { "unsettled", aOrder.unsettled_ },
                 { "ceilings", aOrder.ceilings_ } };
   if (aOrder.shares_) {
     json["shares"] = *aOrder.shares_;
@@ -35,6 +36,7 @@
     static_cast<std::uint64_t>(IntegerOf(aJson.at("number"), kAnyCount));
   order.table_ = static_cast<Revision>(IntegerOf(aJson.at("table"), kAnyCount));
   order.settledCaps_ = aJson.at("settled");
+  order.unsettled_ = aJson.at("unsettled").get<std::vector<std::string>>();
   order.ceilings_ = SharesFrom(aJson.at("ceilings"));
   if (auto shares = aJson.find("shares"); shares != aJson.end()) {
     order.shares_ = SharesFrom(*shares);
@@ -87,16 +89,23 @@
   for (const auto& [account, byService] : aTable.shares_) {
     shares[account] = byService;
   }
-  return Json{
-    { "settled", aTable.settledCaps_ }, { "shares", shares }
-  }.dump();
+  Json settled = Json::object();
+  for (const auto& [account, cap] : aTable.settledCaps_) {
+    settled[account] = { cap.cpu_, cap.memory_, cap.gpu_ };
+  }
+  Json table = { { "settled", settled }, { "shares", shares } };
+  return table.dump();
 }
 
 Result<CapTable> DecodeCapTable(std::string_view aText)
 {
   auto read = [](const Json& aJson) {
     CapTable table;
-    table.settledCaps_ = aJson.at("settled");
+    for (const auto& [account, cap] : aJson.at("settled").items()) {
+      table.settledCaps_[account] = { IntegerOf(cap.at(0), kAnyCount),
+                                      IntegerOf(cap.at(1), kAnyCount),
+                                      IntegerOf(cap.at(2), kAnyCount) };
+    }
     for (const auto& [account, byService] : aJson.at("shares").items()) {
       table.shares_[account] = SharesFrom(byService);
     }
--- a/lib/Accounts/CapUsage.cpp
+++ b/lib/Accounts/CapUsage.cpp
@@ -34,31 +34,42 @@
 {
 }
 
-/// Returns true if some amount is limited to less than before.
-static bool IsLowered(const Resources& aBefore, const Resources& aNow)
+/// Returns the lower of two limits, of which 0 is none.
+static std::int64_t LowerLimit(std::int64_t aLeft, std::int64_t aRight)
 {
-  return std::any_of(
-    std::begin(kAmounts), std::end(kAmounts), [&](auto aAmount) {
-      bool wasLess = aBefore.*aAmount != 0 && aBefore.*aAmount <= aNow.*aAmount;
-      return aNow.*aAmount != 0 && !wasLess;
-    });
+  if (aLeft == 0 || aRight == 0) {
+    return std::max(aLeft, aRight);
+  }
+  return std::min(aLeft, aRight);
+}
+
+/// Returns the cap that limits to what both caps allow.
+static Resources LowerCap(const Resources& aLeft, const Resources& aRight)
+{
+  Resources lower;
+  for (auto amount : kAmounts) {
+    lower.*amount = LowerLimit(aLeft.*amount, aRight.*amount);
+  }
+  return lower;
 }
 
 void CapUsage::SetAccounts(std::span<const AccountConfig> aAccounts)
 {
   // At first, the caps may be lower than those that a predecessor applied.
-  bool isFirst = capsDigest_.empty();
+  bool isFirst = digest_.empty();
   isOn_ = false;
   for (const AccountConfig& account : aAccounts) {
-    auto [entry, isNew] = caps_.try_emplace(account.name_, account.cap_);
-    if (isNew ? isFirst : IsLowered(entry->second, account.cap_)) {
+    configured_[account.name_] = account.cap_;
+    auto [applied, isNew] = applied_.try_emplace(account.name_, account.cap_);
+    Resources lower = LowerCap(applied->second, account.cap_);
+    if (isNew ? isFirst : lower != applied->second) {
       held_.insert(account.name_);
     }
-    entry->second = account.cap_;
+    applied->second = lower;
     unknownSince_.erase(account.name_);
     isOn_ |= account.HasCap();
   }
-  capsDigest_ = DigestOfCaps(aAccounts);
+  digest_ = DigestOfCaps(aAccounts);
 }
 
 void CapUsage::SplitEvenly(std::size_t aServices)
@@ -69,10 +80,19 @@
 
 void CapUsage::LoadShares(Revision aTable,
                           const CapShares& aShares,
-                          std::string_view aSettledCaps)
+                          const Caps& aSettledCaps)
 {
   SetShares(aTable, aShares);
-  Settle(aSettledCaps);
+  for (const auto& [account, settled] : aSettledCaps) {
+    auto applied = applied_.find(account);
+    if (applied == applied_.end()) {
+      continue;
+    }
+    applied->second = LowerCap(applied->second, settled);
+    if (applied->second == settled) {
+      held_.erase(account);
+    }
+  }
 }
 
 /// Ignores a table that is older than the known one.
@@ -84,11 +104,21 @@
   }
 }
 
-/// Notes that the uses in all services are known under the caps aCaps.
-void CapUsage::Settle(std::string_view aCaps)
+/// Applies the configured caps if all leaders have reported under them, and
+/// what runs is within them.
+void CapUsage::Settle(const CapOrder& aOrder)
 {
-  if (aCaps == capsDigest_) {
-    held_.clear();
+  if (aOrder.settledCaps_ != digest_) {
+    return;
+  }
+  for (const auto& [account, cap] : configured_) {
+    bool isSettled =
+      std::find(aOrder.unsettled_.begin(), aOrder.unsettled_.end(), account) ==
+      aOrder.unsettled_.end();
+    if (isSettled) {
+      applied_[account] = cap;
+      held_.erase(account);
+    }
   }
 }
 
@@ -111,7 +141,7 @@
     SetShares(aOrder.table_, *aOrder.shares_);
   }
   ceilings_ = aOrder.ceilings_;
-  Settle(aOrder.settledCaps_);
+  Settle(aOrder);
 }
 
 void CapUsage::AddRun(const std::string& aAccount, const Resources& aTakes)
@@ -179,8 +209,8 @@
   if (aAccount.empty()) {
     return true;
   }
-  auto cap = caps_.find(aAccount);
-  if (cap == caps_.end()) {
+  auto cap = applied_.find(aAccount);
+  if (cap == applied_.end()) {
     Millis now = clock_.Now();
     Millis since = unknownSince_.try_emplace(aAccount, now).first->second;
     return now - since >= kUnknownAccountPause;
@@ -216,8 +246,8 @@
 {
   CapReport report;
   report.table_ = table_;
-  report.caps_ = capsDigest_;
-  for (const auto& [account, cap] : caps_) {
+  report.caps_ = digest_;
+  for (const auto& [account, cap] : applied_) {
     if (cap == Resources()) {
       continue;
     }
--- a/lib/Node/LeaderRpc.cpp
+++ b/lib/Node/LeaderRpc.cpp
@@ -172,6 +172,10 @@
         onAnswer(tl::unexpected(aAnswer.error()));
         return;
       }
+      if (aAnswer->code_ != kOk) {
+        onAnswer(Fail("ask for waiting jobs", "", aAnswer->body_));
+        return;
+      }
       int waiting = 0;
       const std::string& body = aAnswer->body_;
       auto parsed =
@@ -318,7 +322,11 @@
     if (!local->KnowsJobs(maxJobsAge_)) {
       return { kNotLeader, {}, {} };
     }
-    int waiting = local->State().Waiting(QueryValue(aRequest.target_, "queue"));
+    std::string queue = QueryValue(aRequest.target_, "queue");
+    if (!local->KnowsQueue(queue)) {
+      return { kNotFound, {}, "unknown queue" };
+    }
+    int waiting = local->State().Waiting(queue);
     return { kOk, {}, std::to_string(waiting) };
   }
   return { kNotFound, {}, "unknown path" };
--- a/lib/Node/ServiceLeader.cpp
+++ b/lib/Node/ServiceLeader.cpp
@@ -300,6 +300,12 @@
 void ServiceLeader::SetConfig(const JobsConfig& aConfig)
 {
   scheduler_.SetAccounts(aConfig.accounts_);
+  queues_.clear();
+  for (const QueueConfig& queue : aConfig.queues_) {
+    if (queue.service_ == options_.service_) {
+      queues_.insert(queue.name_);
+    }
+  }
   if (!options_.hasPoolManager_) {
     scheduler_.Caps().SplitEvenly(aConfig.ServedServices().size());
   }
--- a/unittests/Accounts/CapWorld.cpp
+++ b/unittests/Accounts/CapWorld.cpp
@@ -177,6 +177,7 @@
   }
   if (mutant_ == CapMutant::LoweringIgnored) {
     order.settledCaps_ = DigestOfCaps(configs_[service.config_]);
+    order.unsettled_.clear();
   }
   service.usage_->Apply(aOrder.manager_, order);
   reports_.emplace_back(aOrder, ReportOf(service));
