--- a/lib/Node/LeaderRanking.cpp
+++ b/lib/Node/LeaderRanking.cpp
@@ -47,6 +47,7 @@
   }
   std::sort(ranked.begin(), ranked.end());
   std::vector<std::string> names;
+  names.reserve(ranked.size());
   for (auto& entry : ranked) {
     names.push_back(std::move(std::get<std::string>(entry)));
   }
--- a/unittests/Accounts/CredentialsTest.cpp
+++ b/unittests/Accounts/CredentialsTest.cpp
@@ -22,7 +22,8 @@
   void OneBearerTokenIsAKey()
   {
     for (const char* value : { "Bearer abc", "bearer abc", "BEARER abc" }) {
-      auto key = ReadApiKey({ { "Host", "h" }, { "authorization", value } });
+      Headers headers = { { "Host", "h" }, { "authorization", value } };
+      auto key = ReadApiKey(headers); // a view into headers
       CPPUNIT_ASSERT(key.has_value());
       CPPUNIT_ASSERT_EQUAL(std::string("abc"), std::string(*key));
     }
