--- a/include/coltsfootshed/Accounts/CapDivider.h
+++ b/include/coltsfootshed/Accounts/CapDivider.h
@@ -77,7 +77,6 @@
   void SettleAccount(const std::string& aAccount, CapTable& aNext) const;
   std::vector<Part> PartsOf(const std::string& aAccount) const;
   static void SetGoals(std::vector<Part>& aParts);
-  static void KeepWithinCap(std::vector<Part>& aParts);
   bool AreUsesKnown() const;
   const Report* FreshReport(const std::string& aService) const;
   void SetCeiling(const std::string& aService,
--- a/lib/Accounts/CapDivider.cpp
+++ b/lib/Accounts/CapDivider.cpp
@@ -15,6 +15,11 @@
 /// each write has a cost.
 static constexpr CapShare kMinRaise = 50;
 
+static bool IsBefore(const AccountUse& aLeft, const AccountUse& aRight)
+{
+  return aLeft.account_ < aRight.account_;
+}
+
 CapDivider::CapDivider(const Clock& aClock)
   : clock_(aClock)
 {
@@ -51,7 +56,11 @@
 void CapDivider::SetReport(const std::string& aService,
                            const CapReport& aReport)
 {
-  reports_[aService] = { aReport, clock_.Now() };
+  Report& report = reports_[aService];
+  report = { aReport, clock_.Now() };
+  std::sort(report.content_.accounts_.begin(),
+            report.content_.accounts_.end(),
+            IsBefore);
 }
 
 /// Returns the report of a leader that follows the current table, or null.
@@ -139,11 +148,11 @@
       part.share_ = share == shares->second.end() ? 0 : share->second;
     }
     if (const Report* report = FreshReport(service)) {
-      auto use = std::find_if(
-        report->content_.accounts_.begin(),
-        report->content_.accounts_.end(),
-        [&](const AccountUse& aUse) { return aUse.account_ == aAccount; });
-      part.use_ = use == report->content_.accounts_.end() ? nullptr : &*use;
+      const std::vector<AccountUse>& uses = report->content_.accounts_;
+      auto use = std::lower_bound(
+        uses.begin(), uses.end(), AccountUse{ aAccount }, IsBefore);
+      bool isKnown = use != uses.end() && use->account_ == aAccount;
+      part.use_ = isKnown ? &*use : nullptr;
     }
     part.goal_ = part.share_;
     parts.push_back(std::move(part));
@@ -190,31 +199,6 @@
   }
 }
 
-/// After a cap was lowered, more may run than it allows. Raises no limit then,
-/// but by what no service uses or may use.
-void CapDivider::KeepWithinCap(std::vector<Part>& aParts)
-{
-  CapShare free = kWholeCap;
-  bool isOver = false;
-  for (const Part& part : aParts) {
-    bool reports = part.use_ != nullptr;
-    free -=
-      reports ? std::max(part.use_->used_, part.use_->limit_) : part.share_;
-    isOver |= reports && part.use_->used_ > part.share_;
-  }
-  if (!isOver) {
-    return;
-  }
-  CapShare raise =
-    std::max<CapShare>(0, free) / static_cast<CapShare>(aParts.size());
-  for (Part& part : aParts) {
-    if (part.use_ != nullptr) {
-      part.goal_ = std::min(
-        part.goal_, std::max(part.use_->used_, part.use_->limit_ + raise));
-    }
-  }
-}
-
 /// Returns true if every leader reports under the caps that are in force.
 bool CapDivider::AreUsesKnown() const
 {
