--- a/include/coltsfootshed/Scheduling/OwnDelay.h
+++ b/include/coltsfootshed/Scheduling/OwnDelay.h
@@ -4,7 +4,7 @@
 ///
 /// Answers a backlog of hundreds of jobs at a leader that is short of processor
 /// time or bandwidth: late answers are its own fault and no evidence against
-/// targets, and renewals of leases must not wait behind starts.
+/// targets, and fewer starts leave it time for renewals of leases.
 #ifndef COLTSFOOTSHED_SCHEDULING_OWNDELAY_H
 #define COLTSFOOTSHED_SCHEDULING_OWNDELAY_H
 
--- a/include/coltsfootshed/Scheduling/Scheduler.h
+++ b/include/coltsfootshed/Scheduling/Scheduler.h
@@ -429,7 +429,7 @@
   OwnDelay ownDelay_;
   int startsInFlight_ = 0; ///< ordered and not answered
   AgreedRate agreedRate_;
-  StrideOrder accountOrder_;   ///< work in core-milliseconds
+  StrideOrder accountOrder_;   ///< work: thousandths of a core times ms
   bool runsConfirmed_ = false; ///< caps_ knows that this scheduler is ready
   int savesInFlight_ = 0;
   Millis saveRetryAt_{ 0 };
