--- a/include/coltsfootshed/Accounts/CapUsage.h
+++ b/include/coltsfootshed/Accounts/CapUsage.h
@@ -53,8 +53,8 @@
   /// Returns true if some account has a cap.
   bool IsOn() const { return isOn_; }
 
-  /// Returns use and limit of each account that has a cap. aWaiting is what could
-  /// start now.
+  /// Returns use and limit of each account that has a cap. aWaiting is what
+  /// could start now.
   CapReport Report(
     const std::map<std::string, Resources, std::less<>>& aWaiting) const;
 
