--- a/review/stand-ins-2/platform2.py
+++ b/review/stand-ins-2/platform2.py
@@ -56,11 +56,14 @@
     """The request gets no answer, now or later."""
 
 
-async def serve_http(handler, port=0):
+async def serve_http(handler, port=0, connections=None):
     """Serves HTTP/1.1 with keep-alive. handler(method, target, headers, body)
-    returns (code, object or None) or raises Silent."""
+    returns (code, object or None) or raises Silent. connections, if given, is
+    kept as the set of open connections."""
 
     async def connection(reader, writer):
+        if connections is not None:
+            connections.add(writer)
         try:
             while True:
                 line = await reader.readline()
@@ -91,6 +94,8 @@
         except (ConnectionError, asyncio.IncompleteReadError, ValueError):
             pass
         finally:
+            if connections is not None:
+                connections.discard(writer)
             writer.close()
 
     server = await asyncio.start_server(connection, "127.0.0.1", port)
@@ -277,7 +282,9 @@
         self.refused = {}  # task -> highest run stopped or ended here
         self.end_event = asyncio.Event()
         self.up = True
-        self.server, self.port = await serve_http(self.serve, self.port)
+        self.connections = set()
+        self.server, self.port = await serve_http(self.serve, self.port,
+                                                  self.connections)
         self.ticker = asyncio.ensure_future(self._tick())
         self.record("runner", self.id, "starts, born", self.born, "capacity",
                     self.capacity["Cpu"], "labels", *self.labels)
@@ -289,6 +296,8 @@
         self.running.clear()
         self.ticker.cancel()
         self.server.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
 
     def entry(self):
         return {"Service": self.service, "Addr": f"127.0.0.1:{self.port}",
@@ -341,6 +350,8 @@
         data = json.loads(body)
         if self.cut_for is not None and self.cut_for(data):
             raise Silent()
+        if not self.up:
+            raise Silent()
         if headers.get("coltsfootshed-target-instance") != self.id:
             return 421, {}
         fence = data.get("Fence", 0)
@@ -555,7 +566,7 @@
             return await asyncio.wait_for(
                 self._request(method, target, text, host), timeout)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError,
-                ValueError) as failure:
+                ValueError, IndexError) as failure:
             return None, type(failure).__name__
 
     async def _request(self, method, target, text, host):
