--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,71 +1,60 @@
-"""A runner that starts again as another kind, under its id, gets tasks that need
-the kind it was before, and more than it can hold."""
+"""After a configuration sends a queue to another service, the queue's Waiting
+leaves out the jobs that were accepted before."""
 
 import asyncio
-import os
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "stand-ins-2"))
-from platform2 import Runner, main  # noqa: E402
+from platform2 import Runner, main, now_ms  # noqa: E402
 
-# From the start of the runner to its first entry in the registry, at most HeartbeatMs.
-DELAY_S = float(os.environ.get("DELAY_S", "1.0"))
-DOWN_S = 2.0
+JOBS = 40
 
 
 async def play(d):
-    broken = []
-
-    def on_start(runner, task, run, data):
-        taken = 1000 * len(runner.running)
-        if taken > runner.capacity["Cpu"]:
-            broken.append(f"LIMIT: {task} brings {runner.id} to {taken} of "
-                          f"{runner.capacity['Cpu']}")
-            d.record(broken[-1])
-        if "a" not in runner.labels:
-            broken.insert(0, f"ROUTE: {task}, which needs the label a, starts on "
-                          f"{runner.id} with the labels {runner.labels}")
-            d.record(broken[0])
-
-    d.on_start = on_start
-    runner = Runner(d, "i-1", "desk", "m-1", work=lambda task: 800)
-    await runner.start()
-    runner.register()
-    # Two machines of different kinds; the runner's next life is on the other one.
-    d.machines.add("m-1", "desk", "i-1")
-    d.machines.add("m-2", "desk", None, State="down", Labels=["b", "r1-1"],
-                   Capacity={"Cpu": 1000, "MemMb": 16384, "Gpu": 0})
-    d.configure(3, [{"Name": "r-1", "Prefix": "/orders/", "Service": "desk"}],
-                [{"Name": "desk"}])
+    begun = set()
+    d.on_start = lambda runner, task, run, data: begun.add(task.split(".")[0])
+    # The runner of the first service has room for one task at a time.
+    for service in ("desk", "annex"):
+        runner = Runner(d, "i-" + service, service, "m-" + service,
+                        work=lambda task: 90000)
+        await runner.start()
+        runner.register()
+        d.machines.add("m-" + service, service, runner.id)
+    services = [{"Name": "desk"}, {"Name": "annex"}]
+    route = {"Name": "r-1", "Prefix": "/orders/", "Service": "desk"}
+    d.configure(3, [route], services)
     vms = [await d.add_vm(f"front-{n}") for n in (1, 2)]
-    await d.until("a leader", lambda: d.leader("desk"), 15)
-    spec = {"Spec": "x", "Steps": [{"Count": 2, "Cpu": 1000, "MemMb": 256,
-                                    "EstMs": 800, "Needs": "a"}]}
-
-    async def clients():
-        number = 0
-        while True:
-            number += 1
-            await vms[number % 2].request("POST", f"/orders/{number:016x}", spec)
-            await asyncio.sleep(0.4)
-
-    asyncio.ensure_future(clients())
-    await asyncio.sleep(4)
-    for _ in range(4):
-        if d.trouble:
-            runner.crash()
-            d.machines.rows[runner.machine].update(State="down", Id=None)
-            await asyncio.sleep(DOWN_S)
-            runner.machine = "m-2" if runner.machine == "m-1" else "m-1"
-            row = d.machines.rows[runner.machine]
-            row.update(State="up", Id=runner.id)
-            runner.labels, runner.capacity = row["Labels"], row["Capacity"]
-            await runner.start()
-            await asyncio.sleep(DELAY_S)
-            runner.register()
-        await asyncio.sleep(3)
-    return broken[0] if broken else None
+    await d.until("leaders", lambda: d.leader("desk") and d.leader("annex"), 15)
+    spec = {"Spec": "x", "Steps": [{"Count": 1, "Cpu": 4000, "MemMb": 256,
+                                    "EstMs": 90000}]}
+    accepted = []
+    for number in range(JOBS):
+        job = f"{number:016x}"
+        code, answer = await vms[number % 2].request("POST", "/orders/" + job, spec)
+        d.record("client: POST", job, "->", code, answer)
+        if code == 200:
+            accepted.append((job, now_ms()))
+    if len(accepted) < JOBS / 2:
+        from platform2 import CannotRun
+        raise CannotRun("too few jobs were accepted")
+    await asyncio.sleep(2)
+    if d.trouble:
+        # Requests sent later than ConfigMs after this go by the new version.
+        d.configure(5, [dict(route, Service="annex")], services)
+    wrong = []
+    for _ in range(8):
+        await asyncio.sleep(1.5)
+        old = now_ms() - d.bounds["visible_ms"] - 2000
+        owed = [job for job, at in accepted if at < old and job not in begun]
+        for vm in vms:
+            code, answer = await vm.request("GET", "/orders/")
+            d.record("client: GET /orders/ at", vm.name, "->", code, answer,
+                     "not begun:", len(owed))
+            if code == 200 and 2 * answer["Waiting"] < len(owed):
+                wrong.append(f"{vm.name} gives {answer['Waiting']} as Waiting while "
+                             f"{len(owed)} jobs accepted long before have not begun")
+    return wrong[-1] if wrong else None
 
 
 main(Path(__file__).resolve().parent, play)
--- a/review/stand-ins-2/platform2.py
+++ b/review/stand-ins-2/platform2.py
@@ -11,6 +11,7 @@
 import base64
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -46,10 +47,23 @@
         self.file.flush()
 
 
+PORTS = range(12000, 32000)  # below those that the kernel gives to clients
+taken_ports = set()
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    for _ in range(1000):
+        port = random.choice(PORTS)
+        if port in taken_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        taken_ports.add(port)
+        return port
+    raise CannotRun("no free port")
 
 
 class Silent(Exception):
@@ -561,7 +575,8 @@
 
     async def request(self, method, target, body=None, timeout=3.0, host="desk.example"):
         """Returns (code, object), or (None, reason) without an answer."""
-        text = b"" if body is None else json.dumps(body).encode()
+        text = b"" if body is None else json.dumps(
+            body, separators=(",", ":")).encode()
         try:
             return await asyncio.wait_for(
                 self._request(method, target, text, host), timeout)
