--- a/review/stand-ins-2/platform2.py
+++ b/review/stand-ins-2/platform2.py
@@ -573,24 +573,26 @@
         self.deployment.record("entry VM", self.name, "ended with",
                                self.process.returncode)
 
-    async def request(self, method, target, body=None, timeout=3.0, host="desk.example"):
+    async def request(self, method, target, body=None, timeout=3.0,
+                      host="desk.example", key=None):
         """Returns (code, object), or (None, reason) without an answer."""
         text = b"" if body is None else json.dumps(
             body, separators=(",", ":")).encode()
         try:
             return await asyncio.wait_for(
-                self._request(method, target, text, host), timeout)
+                self._request(method, target, text, host, key), timeout)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError,
                 ValueError, IndexError) as failure:
             return None, type(failure).__name__
 
-    async def _request(self, method, target, text, host):
+    async def _request(self, method, target, text, host, key):
         reader, writer = await asyncio.open_connection("127.0.0.1", self.front)
+        credentials = f"Authorization: Bearer {key}\r\n" if key else ""
         try:
             writer.write(
                 f"{method} {target} HTTP/1.1\r\nHost: {host}\r\n"
                 f"Content-Type: application/json\r\nContent-Length: {len(text)}\r\n"
-                "Coltsfootshed-Deadline-Ms: 3000\r\n\r\n".encode() + text)
+                f"{credentials}Coltsfootshed-Deadline-Ms: 3000\r\n\r\n".encode() + text)
             status = await reader.readline()
             code = int(status.split()[1])
             length = 0
@@ -640,9 +642,10 @@
             vm.start()
         return vm
 
-    def configure(self, version, routes, services):
+    def configure(self, version, routes, services, tenants=None):
         self.record("operator: configuration", version, "routes",
-                    json.dumps(routes, sort_keys=True))
+                    json.dumps(routes, sort_keys=True), json.dumps(tenants or []))
+        more = {} if tenants is None else {"Tenants": tenants}
         self.store.put("op/config", {
             "Version": version,
             "Routes": [dict({"Kind": "non_idempotent", "TimeoutMs": 3000,
@@ -654,7 +657,7 @@
                                "EnforcesCapacity": False, "Spare": False}, **s)
                          for s in services],
             "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144,
-                       "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}})
+                       "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}, **more})
 
     def leader(self, duty):
         return self.store.value("cf/n/lead/" + duty)
