--- a/include/coltsfootshed/Http/Client.h
+++ b/include/coltsfootshed/Http/Client.h
@@ -18,6 +18,10 @@
 /// Identifies a call of one HttpClient.
 using CallId = std::uint64_t;
 
+/// Identifies what answers at an address, such as one process, until another
+/// takes its place; 0: not known. A connection leads to one of them only.
+using PeerIdentity = std::int64_t;
+
 /// Which pooled connections a call may reuse.
 enum class Reuse
 {
@@ -47,6 +51,18 @@
               Millis aTimeout,
               Reuse aReuse,
               OnEnd aOnEnd);
+  /// As Call(), but only over an idle connection to aIdentity. Returns false,
+  /// and never runs aOnEnd, if there is none.
+  bool CallIdentified(const Endpoint& aPeer,
+                      const HttpRequest& aRequest,
+                      Millis aTimeout,
+                      PeerIdentity aIdentity,
+                      OnEnd aOnEnd);
+  /// Notes what is at the other end of an idle connection, as the last answer
+  /// on it said. Does nothing if that connection is no longer idle.
+  void Identify(const Endpoint& aPeer,
+                ConnectionId aConnection,
+                PeerIdentity aIdentity);
   /// Ends a call without running its callback. Does nothing if it has ended.
   void Abandon(CallId aCall);
   /// True if a byte of the call may have left this process, or if the call
@@ -62,6 +78,7 @@
   {
     Endpoint peer_;
     std::unique_ptr<ClientConnection> connection_;
+    PeerIdentity identity_ = 0;
     std::unique_ptr<Timer> timer_;
     Millis deadline_{ 0 };
     OnEnd onEnd_;
@@ -70,15 +87,22 @@
   {
     std::unique_ptr<ClientConnection> connection_;
     Millis idleSince_{ 0 };
+    PeerIdentity identity_ = 0;
   };
 
-  std::unique_ptr<ClientConnection> TakeConnection(const Endpoint& aPeer,
-                                                   Reuse aReuse,
-                                                   bool& aIsNew);
+  /// Returns an idle connection, or one without a connection.
+  IdleConnection TakeConnection(const Endpoint& aPeer, Reuse aReuse);
+  IdleConnection TakeIdentified(const Endpoint& aPeer, PeerIdentity aIdentity);
+  CallId Start(const Endpoint& aPeer,
+               const HttpRequest& aRequest,
+               Millis aTimeout,
+               IdleConnection aConnection,
+               OnEnd aOnEnd);
   void OnTimer(CallId aCall);
   void OnCallEnd(CallId aCall, CallResult aResult);
   void AddToPool(const Endpoint& aPeer,
-                 std::unique_ptr<ClientConnection> aConnection);
+                 std::unique_ptr<ClientConnection> aConnection,
+                 PeerIdentity aIdentity);
   void DeleteLater(std::unique_ptr<ClientConnection> aConnection,
                    std::unique_ptr<Timer> aTimer);
 
--- a/include/coltsfootshed/Http/ClientConnection.h
+++ b/include/coltsfootshed/Http/ClientConnection.h
@@ -8,6 +8,7 @@
 #include "coltsfootshed/Settings/Settings.h"
 #include "coltsfootshed/Support/Clock.h"
 
+#include <cstdint>
 #include <functional>
 
 struct event_base;
@@ -27,11 +28,15 @@
   Answered ///< a complete answer came
 };
 
+/// Identifies a connection within this process.
+using ConnectionId = std::uint64_t;
+
 /// Outcome of one call.
 struct CallResult
 {
   CallEnd end_ = CallEnd::Broken;
-  HttpAnswer answer_; ///< valid if Answered
+  HttpAnswer answer_;           ///< valid if Answered
+  ConnectionId connection_ = 0; ///< that carried the answer; 0: not known
 };
 
 /// Carries one call at a time. An answer counts as complete only if all of its
@@ -56,6 +61,7 @@
 
   /// True if a byte of the current or last call may have left this process.
   bool MayHaveSent() const { return mayHaveSent_; }
+  ConnectionId Id() const { return id_; }
   /// True if another call may be sent: the last answer was complete, the peer
   /// keeps the connection open and has sent nothing more.
   bool IsReusable() const;
@@ -72,6 +78,7 @@
   void End(CallResult aResult);
   bool HasUnreadInput() const;
 
+  ConnectionId id_;
   Endpoint peer_;
   bufferevent* stream_;
   evhttp_connection* connection_;
--- a/include/coltsfootshed/Targets/Target.h
+++ b/include/coltsfootshed/Targets/Target.h
@@ -74,6 +74,9 @@
 struct HoldOrder
 {
   Fence fence_ = 0;
+  /// Incarnation that acknowledged_ and leaseUntil_ are for, see TargetInfo.
+  /// Another one gets neither of them and is only asked. Needed with either.
+  std::int64_t startedAt_ = 0;
   /// Highest EndedRun::number_ that was received; the target may drop ends up
   /// to it.
   std::uint64_t acknowledged_ = 0;
@@ -92,6 +95,8 @@
   std::string payload_;
   TargetTime leaseUntil_ = 0;
   Fence fence_ = 0;
+  /// Incarnation to start on, see TargetInfo. No other one gets the order.
+  std::int64_t startedAt_ = 0;
   std::string checkpoint_;
   std::string ticket_; ///< from the advice service; empty: none
 };
--- a/lib/Http/Client.cpp
+++ b/lib/Http/Client.cpp
@@ -24,10 +24,9 @@
 {
 }
 
-std::unique_ptr<ClientConnection>
-HttpClient::TakeConnection(const Endpoint& aPeer, Reuse aReuse, bool& aIsNew)
+HttpClient::IdleConnection HttpClient::TakeConnection(const Endpoint& aPeer,
+                                                      Reuse aReuse)
 {
-  aIsNew = false;
   std::vector<IdleConnection>& idle = idle_[aPeer];
   Millis maxAge = aReuse == Reuse::Any ? kMaxIdleTime : kRecentAnswerAge;
   while (aReuse != Reuse::Never && !idle.empty()) {
@@ -35,12 +34,30 @@
     idle.pop_back();
     bool isYoung = clock_.Now() - candidate.idleSince_ <= maxAge;
     if (isYoung && candidate.connection_->IsReusable()) {
-      return std::move(candidate.connection_);
+      return candidate;
     }
     DeleteLater(std::move(candidate.connection_), nullptr);
   }
-  aIsNew = true;
-  return std::make_unique<ClientConnection>(base_, aPeer);
+  return {};
+}
+
+HttpClient::IdleConnection HttpClient::TakeIdentified(const Endpoint& aPeer,
+                                                      PeerIdentity aIdentity)
+{
+  std::vector<IdleConnection>& idle = idle_[aPeer];
+  for (std::size_t i = idle.size(); i-- > 0;) {
+    if (idle[i].identity_ != aIdentity) {
+      continue;
+    }
+    IdleConnection candidate = std::move(idle[i]);
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
+    bool isYoung = clock_.Now() - candidate.idleSince_ <= kMaxIdleTime;
+    if (isYoung && candidate.connection_->IsReusable()) {
+      return candidate;
+    }
+    DeleteLater(std::move(candidate.connection_), nullptr);
+  }
+  return {};
 }
 
 CallId HttpClient::Call(const Endpoint& aPeer,
@@ -48,12 +65,57 @@
                         Millis aTimeout,
                         Reuse aReuse,
                         OnEnd aOnEnd)
+{
+  return Start(aPeer,
+               aRequest,
+               aTimeout,
+               TakeConnection(aPeer, aReuse),
+               std::move(aOnEnd));
+}
+
+bool HttpClient::CallIdentified(const Endpoint& aPeer,
+                                const HttpRequest& aRequest,
+                                Millis aTimeout,
+                                PeerIdentity aIdentity,
+                                OnEnd aOnEnd)
+{
+  IdleConnection connection = TakeIdentified(aPeer, aIdentity);
+  if (connection.connection_ == nullptr) {
+    return false;
+  }
+  Start(aPeer, aRequest, aTimeout, std::move(connection), std::move(aOnEnd));
+  return true;
+}
+
+void HttpClient::Identify(const Endpoint& aPeer,
+                          ConnectionId aConnection,
+                          PeerIdentity aIdentity)
+{
+  auto found = idle_.find(aPeer);
+  if (found == idle_.end()) {
+    return;
+  }
+  for (IdleConnection& idle : found->second) {
+    if (idle.connection_->Id() == aConnection) {
+      idle.identity_ = aIdentity;
+    }
+  }
+}
+
+/// Starts a call over aConnection, or over a new one if it is empty.
+CallId HttpClient::Start(const Endpoint& aPeer,
+                         const HttpRequest& aRequest,
+                         Millis aTimeout,
+                         IdleConnection aConnection,
+                         OnEnd aOnEnd)
 {
   CallId id = ++lastCallId_;
   RunningCall& call = calls_[id];
-  bool isNew = false;
+  bool isNew = aConnection.connection_ == nullptr;
   call.peer_ = aPeer;
-  call.connection_ = TakeConnection(aPeer, aReuse, isNew);
+  call.connection_ = isNew ? std::make_unique<ClientConnection>(base_, aPeer)
+                           : std::move(aConnection.connection_);
+  call.identity_ = aConnection.identity_;
   call.onEnd_ = std::move(aOnEnd);
   call.deadline_ = clock_.Now() + aTimeout;
   call.timer_ = std::make_unique<Timer>(base_, [this, id] { OnTimer(id); });
@@ -88,21 +150,22 @@
   calls_.erase(found);
   call.timer_->Stop();
   if (call.connection_->IsReusable()) {
-    AddToPool(call.peer_, std::move(call.connection_));
+    AddToPool(call.peer_, std::move(call.connection_), call.identity_);
   }
   DeleteLater(std::move(call.connection_), std::move(call.timer_));
   call.onEnd_(std::move(aResult));
 }
 
 void HttpClient::AddToPool(const Endpoint& aPeer,
-                           std::unique_ptr<ClientConnection> aConnection)
+                           std::unique_ptr<ClientConnection> aConnection,
+                           PeerIdentity aIdentity)
 {
   std::vector<IdleConnection>& idle = idle_[aPeer];
   if (idle.size() >= maxIdlePerPeer_) {
     DeleteLater(std::move(aConnection), nullptr);
     return;
   }
-  idle.push_back({ std::move(aConnection), clock_.Now() });
+  idle.push_back({ std::move(aConnection), clock_.Now(), aIdentity });
 }
 
 void HttpClient::DeleteLater(std::unique_ptr<ClientConnection> aConnection,
--- a/lib/Http/ClientConnection.cpp
+++ b/lib/Http/ClientConnection.cpp
@@ -1,5 +1,6 @@
 #include "coltsfootshed/Http/ClientConnection.h"
 
+#include <atomic>
 #include <cassert>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -41,8 +42,12 @@
     bufferevent_getfd(aStream), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
+/// Connections may be opened by several threads.
+static std::atomic<ConnectionId> sLastConnection{ 0 };
+
 ClientConnection::ClientConnection(event_base* aBase, const Endpoint& aPeer)
-  : peer_(aPeer)
+  : id_(++sLastConnection)
+  , peer_(aPeer)
   , stream_(bufferevent_socket_new(aBase, -1, BEV_OPT_CLOSE_ON_FREE))
   , connection_(evhttp_connection_base_bufferevent_new(aBase,
                                                        nullptr,
@@ -164,6 +169,7 @@
   answer.body_.resize(evbuffer_get_length(body));
   evbuffer_remove(body, answer.body_.data(), answer.body_.size());
   result.end_ = CallEnd::Answered;
+  result.connection_ = id_;
   auto connectionField = FindHeader(answer.headers_, "Connection");
   bool peerCloses =
     connectionField && EqualsIgnoringCase(*connectionField, "close");
--- a/lib/Scheduling/SchedulerHolds.cpp
+++ b/lib/Scheduling/SchedulerHolds.cpp
@@ -17,8 +17,6 @@
 /// How long a hold may wait where best-effort tasks run beside serving tasks,
 /// so that the tail latencies are read this often.
 static constexpr Millis kTailLatencyWait{ 500 };
-/// Shortest time in which a crashed target can answer as a new incarnation.
-static constexpr Millis kMinRestartTime{ 1000 };
 /// After this many consecutive holds without an answer the lease is no longer
 /// renewed.
 static constexpr int kMaxFailedHoldsToRenew = 2;
@@ -202,13 +200,11 @@
 {
   HoldOrder hold;
   hold.fence_ = settings_.fence_;
-  // A new incarnation numbers its ends from the start. Acknowledging a number
-  // of an earlier incarnation would make it forget ends that no scheduler has
-  // read.
-  bool sameIncarnation =
-    clock_.Now() - aTarget.lastAnswerAt_ <= kMinRestartTime &&
-    aTarget.failedHolds_ == 0;
-  hold.acknowledged_ = sameIncarnation ? aTarget.acknowledged_ : 0;
+  // A new incarnation numbers its ends, and starts its clock, anew: it would
+  // forget ends that no scheduler has read, and take a lease for far longer
+  // than it is.
+  hold.startedAt_ = aTarget.startedAt_;
+  hold.acknowledged_ = aTarget.acknowledged_;
   hold.freshConnection_ = aTarget.failedHolds_ > 0;
   if (aTarget.runs_.empty()) {
     return hold;
@@ -385,6 +381,7 @@
                aRun.phase_ != RunPhase::Unknown;
       });
   }
+  aTarget.leaseOffered_ = 0; // by the earlier incarnation's clock
   aTarget.processed_ = 0;
   aTarget.acknowledged_ = 0;
   aTarget.unsaved_.clear();
--- a/lib/Scheduling/SchedulerPlacement.cpp
+++ b/lib/Scheduling/SchedulerPlacement.cpp
@@ -688,6 +688,7 @@
                     record.spec_.payload_,
                     run.leaseUntil_,
                     settings_.fence_,
+                    aTarget.startedAt_,
                     spec.gang_
                       ? aStep.occurrence_
                           ->steps_[static_cast<std::size_t>(aStep.step_)]
--- a/unittests/Scheduling/SchedulerFuzzTest.cpp
+++ b/unittests/Scheduling/SchedulerFuzzTest.cpp
@@ -85,7 +85,8 @@
                                     SchedulerMutant::RunsHidden,
                                     SchedulerMutant::CapacityDoubled,
                                     SchedulerMutant::EndsInvented,
-                                    SchedulerMutant::FailuresForgotten }) {
+                                    SchedulerMutant::FailuresForgotten,
+                                    SchedulerMutant::IncarnationsIgnored }) {
       std::string violation = FindViolation(mutant);
       std::cerr << "mutant " << static_cast<int>(mutant) << ": " << violation
                 << "\n";
--- a/unittests/Scheduling/SchedulerWorld.cpp
+++ b/unittests/Scheduling/SchedulerWorld.cpp
@@ -7,8 +7,8 @@
 static constexpr int kTargets = 4;
 static constexpr std::int64_t kTargetCpu = 8000;
 static constexpr Millis kStopDuration{ 200 };
-/// Time from a crash to the new incarnation.
-static constexpr Millis kRestartTime{ 1100 };
+/// Shortest time from a crash to the new incarnation.
+static constexpr Millis kMinRestartTime{ 100 };
 static constexpr Millis kMaxCallDelay{ 12000 };
 static const char* const kService = "stitch";
 
@@ -173,11 +173,7 @@
 {
   for (SchedulerOrder& order : aScheduler.Decide()) {
     auto call = [&](const std::string& aTarget, Order aOrder) {
-      calls_.push_back({ aId,
-                         aTarget,
-                         std::move(aOrder),
-                         targets_.at(aTarget).info_.startedAt_,
-                         clock_.Now() });
+      calls_.push_back({ aId, aTarget, std::move(aOrder), clock_.Now() });
     };
     if (auto* hold = std::get_if<TargetHold>(&order)) {
       call(hold->target_, hold->order_);
@@ -343,12 +339,7 @@
 void SchedulerWorld::ExecuteLate(unsigned aPick)
 {
   if (!lostCalls_.empty()) {
-    Call call = Take(lostCalls_, aPick);
-    // The guarantees in docs/PROMISES.md do not cover a start that is carried
-    // out seconds late in a new incarnation of its target.
-    if (call.startedAt_ == targets_.at(call.target_).info_.startedAt_) {
-      Execute(call);
-    }
+    Execute(Take(lostCalls_, aPick));
   }
 }
 
@@ -396,7 +387,7 @@
     }
   }
   calls_ = std::move(others);
-  clock_.Advance(kRestartTime);
+  clock_.Advance(kMinRestartTime + Millis(aPick));
   EndDueRuns();
   restarted.restartedAt_ = clock_.Now();
   target = restarted;
@@ -424,10 +415,23 @@
 {
   FakeTarget& target = targets_.at(aCall.target_);
   EndDueRuns();
+  // A connection leads to one incarnation.
+  auto isForOther = [&](std::int64_t aStartedAt) {
+    return aStartedAt != target.info_.startedAt_ &&
+           mutant_ != SchedulerMutant::IncarnationsIgnored;
+  };
   if (const auto* hold = std::get_if<HoldOrder>(&aCall.order_)) {
-    return { aCall, ExecuteHold(target, *hold) };
+    HoldOrder order = *hold;
+    if (isForOther(order.startedAt_)) {
+      order.acknowledged_ = 0;
+      order.leaseUntil_.reset();
+    }
+    return { aCall, ExecuteHold(target, order) };
   }
   if (const auto* start = std::get_if<StartOrder>(&aCall.order_)) {
+    if (isForOther(start->startedAt_)) {
+      return { aCall, OrderAnswer{ OrderEnd::NotSent, {} } };
+    }
     return { aCall, ExecuteStart(target, *start) };
   }
   if (const auto* stop = std::get_if<StopOrder>(&aCall.order_)) {
--- a/unittests/Scheduling/SchedulerWorld.h
+++ b/unittests/Scheduling/SchedulerWorld.h
@@ -18,12 +18,13 @@
 enum class SchedulerMutant
 {
   None,
-  SavesAreLost,     ///< progress is reported as saved but is not
-  FencesIgnored,    ///< targets accept orders with lower fences
-  RunsHidden,       ///< targets do not list their runs
-  CapacityDoubled,  ///< the registry lists twice the capacity
-  EndsInvented,     ///< targets list running runs as done
-  FailuresForgotten ///< a successor loses the failed runs
+  SavesAreLost,       ///< progress is reported as saved but is not
+  FencesIgnored,      ///< targets accept orders with lower fences
+  RunsHidden,         ///< targets do not list their runs
+  CapacityDoubled,    ///< the registry lists twice the capacity
+  EndsInvented,       ///< targets list running runs as done
+  FailuresForgotten,  ///< a successor loses the failed runs
+  IncarnationsIgnored ///< targets take what was meant for an earlier life
 };
 
 class SchedulerWorld
@@ -85,7 +86,6 @@
     std::uint64_t scheduler_ = 0;
     std::string target_;
     Order order_;
-    std::int64_t startedAt_ = 0; ///< incarnation it was sent to
     Millis sentAt_{ 0 };
   };
   struct Reply
