--- a/include/coltsfootshed/Node/JobsConfig.h
+++ b/include/coltsfootshed/Node/JobsConfig.h
@@ -41,6 +41,7 @@
 {
   std::uint64_t version_ = 0;
   std::vector<QueueConfig> queues_;
+  std::vector<std::uint32_t> queuesByName_; ///< indices of queues_
   std::vector<ServiceConfig> services_;
   /// Whether calls need the API key of an account, unless their queue is
   /// public.
@@ -51,6 +52,10 @@
   /// Returns the queue of a host whose prefix is the longest that matches a
   /// path, or null. A port in aHost is ignored.
   const QueueConfig* Find(std::string_view aHost, std::string_view aPath) const;
+  /// Prepares FindByName(), once queues_ is complete.
+  void IndexQueues();
+  /// Returns the queue with a name, or null.
+  const QueueConfig* FindByName(std::string_view aName) const;
   /// Returns the names of the services, without the spare pool.
   std::set<std::string> ServedServices() const;
 };
--- a/include/coltsfootshed/Node/LeaderRpc.h
+++ b/include/coltsfootshed/Node/LeaderRpc.h
@@ -43,7 +43,8 @@
   void AskState(const std::string& aService,
                 const std::string& aJob,
                 std::function<void(StateAnswer)> aOnAnswer);
-  /// Asks how many jobs of a queue are waiting.
+  /// Asks how many jobs of a queue of aService are waiting, there and in the
+  /// services to which the queue was assigned before.
   void AskWaiting(const std::string& aService,
                   const std::string& aQueue,
                   std::function<void(Result<int>)> aOnAnswer);
@@ -62,6 +63,19 @@
             HttpRequest aRequest,
             std::function<void(Result<HttpAnswer>)> aOnAnswer);
   HttpAnswer Answer(const HttpRequest& aRequest);
+  /// Jobs of a queue that are waiting in one service.
+  struct WaitingJobs
+  {
+    int count_ = 0;
+    /// Other services that may have jobs of the queue.
+    std::set<std::string> otherServices_;
+  };
+  using OnWaiting = std::function<void(Result<WaitingJobs>)>;
+  /// Asks one service. aIsAssigned: the queue is assigned to it now.
+  void AskOneService(const std::string& aService,
+                     const std::string& aQueue,
+                     bool aIsAssigned,
+                     OnWaiting aOnAnswer);
 
   const LeaderElection& election_;
   FindLocal findLocal_;
--- a/include/coltsfootshed/Node/ServiceLeader.h
+++ b/include/coltsfootshed/Node/ServiceLeader.h
@@ -62,8 +62,8 @@
   void UnregisterTarget(const std::string& aId);
   /// Decides again soon, as its authority may have changed.
   void OnAuthorityChecked() { ScheduleDecision(); }
-  /// Sets the accounts that are in force.
-  void SetConfig(const JobsConfig& aConfig);
+  /// Sets the queues and accounts that are in force.
+  void SetConfig(std::shared_ptr<const JobsConfig> aConfig);
   /// Carries out what the pool manager orders. Returns false, and changes
   /// nothing, if a manager with a higher fence has called before.
   bool ApplyPoolRequest(const PoolRequest& aRequest);
@@ -79,6 +79,9 @@
   {
     return queues_.count(aQueue) > 0;
   }
+  /// Returns the other services that may have jobs of a queue of this service,
+  /// as they were accepted when the queue was assigned to them.
+  std::set<std::string> EarlierServicesOf(std::string_view aQueue) const;
   /// Returns true once the saved state is loaded.
   bool IsLoaded() const { return loaded_; }
   const Scheduler& State() const { return scheduler_; }
@@ -91,6 +94,12 @@
   void LoadCapShares();
   void LoadProgress();
   void ReadProgressPage(const std::string& aAfter);
+  /// Reads all jobs and cancel marks, then follows their changes.
+  void FollowWork();
+  /// Returns true if another service may have jobs of a queue that the new
+  /// configuration assigns to this one.
+  bool GainsMovedQueue(const JobsConfig& aConfig) const;
+  void NoteJobOfOtherService(const JobRecord& aRecord);
   void OnLoaded();
   /// Runs a step of loading again after a delay.
   void Retry(std::function<void()> aStep);
@@ -142,8 +151,19 @@
   std::map<std::string, std::pair<std::string, Revision>> progress_;
   /// When a job was first seen as ended, by job.
   std::map<std::string, Millis> endedSince_;
+  std::shared_ptr<const JobsConfig> config_;
   std::set<std::string, std::less<>> queues_; ///< of this service
-  std::unique_ptr<PrefixFollower> work_;      ///< jobs and cancel marks
+  /// A stored job of another service, whose queue is not assigned to that
+  /// service by the configuration known when the job became known.
+  struct MovedJob
+  {
+    std::string queue_;
+    std::string service_;
+  };
+  std::map<std::string, MovedJob, std::less<>> movedJobs_; ///< by id
+  /// Queues that were taken from other services.
+  std::set<std::string, std::less<>> queuesTakenElsewhere_;
+  std::unique_ptr<PrefixFollower> work_; ///< jobs and cancel marks
   AliveGuard guard_;
 };
 
--- a/lib/Node/JobsConfig.cpp
+++ b/lib/Node/JobsConfig.cpp
@@ -1,5 +1,8 @@
 #include "coltsfootshed/Node/JobsConfig.h"
 
+#include <algorithm>
+#include <numeric>
+
 namespace coltsfootshed {
 
 const QueueConfig* JobsConfig::Find(std::string_view aHost,
@@ -18,6 +21,30 @@
   return best;
 }
 
+void JobsConfig::IndexQueues()
+{
+  queuesByName_.resize(queues_.size());
+  std::iota(queuesByName_.begin(), queuesByName_.end(), 0U);
+  std::sort(queuesByName_.begin(),
+            queuesByName_.end(),
+            [this](std::uint32_t aLeft, std::uint32_t aRight) {
+              return queues_[aLeft].name_ < queues_[aRight].name_;
+            });
+}
+
+const QueueConfig* JobsConfig::FindByName(std::string_view aName) const
+{
+  auto found =
+    std::lower_bound(queuesByName_.begin(),
+                     queuesByName_.end(),
+                     aName,
+                     [this](std::uint32_t aIndex, std::string_view aText) {
+                       return queues_[aIndex].name_ < aText;
+                     });
+  bool isKnown = found != queuesByName_.end() && queues_[*found].name_ == aName;
+  return isKnown ? &queues_[*found] : nullptr;
+}
+
 std::set<std::string> JobsConfig::ServedServices() const
 {
   std::set<std::string> names;
--- a/lib/Node/JobsNode.cpp
+++ b/lib/Node/JobsNode.cpp
@@ -210,7 +210,7 @@
     poolManager_->SetConfig(config_);
   }
   for (auto& [service, leader] : leaders_) {
-    leader->SetConfig(*config_);
+    leader->SetConfig(config_);
   }
   std::set<std::string> duties = config_->ServedServices();
   if (dependencies_.vms_ != nullptr) {
@@ -282,7 +282,7 @@
       abandonTimer_.Start(Millis(0));
     });
   if (config_ != nullptr) {
-    leader->SetConfig(*config_);
+    leader->SetConfig(config_);
   }
   StartRegistry();
   for (const auto& [id, target] : registry_->Targets()) {
--- a/lib/Node/LeaderRpc.cpp
+++ b/lib/Node/LeaderRpc.cpp
@@ -25,6 +25,9 @@
 static constexpr const char* kWaitingPath = "/waiting";
 static constexpr const char* kPoolPath = "/pool";
 static constexpr const char* kMetricsPath = "/metrics";
+/// Header of an answer about waiting jobs: a list of services that may have
+/// more of them.
+static constexpr const char* kOtherServices = "Other-Services";
 
 LeaderRpc::LeaderRpc(event_base* aBase,
                      const Clock& aClock,
@@ -147,45 +150,122 @@
        });
 }
 
+/// The answers of several services to the same question.
+struct WaitingTotal
+{
+  int count_ = 0;
+  std::size_t missing_ = 0; ///< answers
+  std::optional<Error> error_;
+  std::function<void(Result<int>)> onAnswer_;
+};
+
 void LeaderRpc::AskWaiting(const std::string& aService,
                            const std::string& aQueue,
                            std::function<void(Result<int>)> aOnAnswer)
+{
+  auto onFirst = [this, aQueue, onAnswer = std::move(aOnAnswer)](
+                   const Result<WaitingJobs>& aFirst) {
+    if (!aFirst) {
+      onAnswer(tl::unexpected(aFirst.error()));
+      return;
+    }
+    if (aFirst->otherServices_.empty()) {
+      onAnswer(aFirst->count_);
+      return;
+    }
+    auto total = std::make_shared<WaitingTotal>();
+    total->count_ = aFirst->count_;
+    total->missing_ = aFirst->otherServices_.size();
+    total->onAnswer_ = onAnswer;
+    for (const std::string& service : aFirst->otherServices_) {
+      AskOneService(
+        service, aQueue, false, [total](const Result<WaitingJobs>& aNext) {
+          if (aNext) {
+            total->count_ += aNext->count_;
+          } else {
+            total->error_ = aNext.error();
+          }
+          if (--total->missing_ > 0) {
+            return;
+          }
+          total->onAnswer_(total->error_
+                             ? Result<int>(tl::unexpected(*total->error_))
+                             : Result<int>(total->count_));
+        });
+    }
+  };
+  AskOneService(aService, aQueue, true, std::move(onFirst));
+}
+
+static std::string EncodeServices(const std::set<std::string>& aServices)
+{
+  return Json(aServices).dump(-1, ' ', true);
+}
+
+/// Returns the services that an answer names, or an error if they cannot be
+/// read.
+static Result<std::set<std::string>> ServicesIn(const HttpAnswer& aAnswer)
+{
+  using Services = std::set<std::string>;
+  auto field = FindHeader(aAnswer.headers_, kOtherServices);
+  if (!field) {
+    return Services();
+  }
+  return ReadJson<Services>(
+    std::string(*field),
+    kOwnDocument,
+    "read services",
+    "",
+    [](const Json& aJson) { return aJson.get<Services>(); });
+}
+
+void LeaderRpc::AskOneService(const std::string& aService,
+                              const std::string& aQueue,
+                              bool aIsAssigned,
+                              OnWaiting aOnAnswer)
 {
   const ServiceLeader* local = findLocal_(aService);
   if (local != nullptr) {
     if (local->KnowsJobs(maxJobsAge_)) {
-      aOnAnswer(local->State().Waiting(aQueue));
+      aOnAnswer(WaitingJobs{ local->State().Waiting(aQueue),
+                             aIsAssigned ? local->EarlierServicesOf(aQueue)
+                                         : std::set<std::string>() });
     } else {
       aOnAnswer(Fail(
         "count waiting jobs", aService, "this leader may lack some of them"));
     }
     return;
   }
-  Call(
-    aService,
-    { "GET",
-      std::string(kWaitingPath) + "?service=" + aService + "&queue=" + aQueue,
-      {},
-      {} },
-    [onAnswer = std::move(aOnAnswer)](const Result<HttpAnswer>& aAnswer) {
-      if (!aAnswer) {
-        onAnswer(tl::unexpected(aAnswer.error()));
-        return;
-      }
-      if (aAnswer->code_ != kOk) {
-        onAnswer(Fail("ask for waiting jobs", "", aAnswer->body_));
-        return;
-      }
-      int waiting = 0;
-      const std::string& body = aAnswer->body_;
-      auto parsed =
-        std::from_chars(body.data(), body.data() + body.size(), waiting);
-      if (parsed.ec != std::errc()) {
-        onAnswer(Fail("ask for waiting jobs", "", "malformed answer"));
-        return;
-      }
-      onAnswer(waiting);
-    });
+  Call(aService,
+       { "GET",
+         std::string(kWaitingPath) + "?service=" + aService +
+           "&queue=" + aQueue + (aIsAssigned ? "" : "&earlier=1"),
+         {},
+         {} },
+       [onAnswer = std::move(aOnAnswer)](const Result<HttpAnswer>& aAnswer) {
+         if (!aAnswer) {
+           onAnswer(tl::unexpected(aAnswer.error()));
+           return;
+         }
+         if (aAnswer->code_ != kOk) {
+           onAnswer(Fail("ask for waiting jobs", "", aAnswer->body_));
+           return;
+         }
+         int waiting = 0;
+         const std::string& body = aAnswer->body_;
+         auto parsed =
+           std::from_chars(body.data(), body.data() + body.size(), waiting);
+         if (parsed.ec != std::errc()) {
+           onAnswer(Fail("ask for waiting jobs", "", "malformed answer"));
+           return;
+         }
+         auto others = ServicesIn(*aAnswer);
+         if (!others) {
+           onAnswer(tl::unexpected(others.error()));
+           return;
+         }
+         onAnswer(WaitingJobs{ waiting, std::move(*others) });
+       });
 }
 
 /// Encodes what stands in the body of a pool request. Without caps it is the
@@ -323,11 +403,19 @@
       return { kNotLeader, {}, {} };
     }
     std::string queue = QueryValue(aRequest.target_, "queue");
+    std::string waiting = std::to_string(local->State().Waiting(queue));
+    if (!QueryValue(aRequest.target_, "earlier").empty()) {
+      return { kOk, {}, waiting };
+    }
     if (!local->KnowsQueue(queue)) {
       return { kNotFound, {}, "unknown queue" };
     }
-    int waiting = local->State().Waiting(queue);
-    return { kOk, {}, std::to_string(waiting) };
+    std::set<std::string> others = local->EarlierServicesOf(queue);
+    Headers headers;
+    if (!others.empty()) {
+      headers.emplace_back(kOtherServices, EncodeServices(others));
+    }
+    return { kOk, headers, waiting };
   }
   return { kNotFound, {}, "unknown path" };
 }
--- a/lib/Node/ServiceLeader.cpp
+++ b/lib/Node/ServiceLeader.cpp
@@ -176,17 +176,22 @@
         ReadProgressPage(aPage->items_.back().key_);
         return;
       }
-      work_ = std::make_unique<PrefixFollower>(
-        dependencies_.base_,
-        dependencies_.clock_,
-        dependencies_.store_,
-        static_cast<PrefixListener&>(*this),
-        PrefixFollower::Options{
-          keys::kWorkPrefix, options_.longestWatch_, kWorkWatchPause },
-        options_.fence_);
+      FollowWork();
     }));
 }
 
+void ServiceLeader::FollowWork()
+{
+  work_ = std::make_unique<PrefixFollower>(
+    dependencies_.base_,
+    dependencies_.clock_,
+    dependencies_.store_,
+    static_cast<PrefixListener&>(*this),
+    PrefixFollower::Options{
+      keys::kWorkPrefix, options_.longestWatch_, kWorkWatchPause },
+    options_.fence_);
+}
+
 void ServiceLeader::OnSnapshot(std::vector<StoreItem> aItems)
 {
   // Jobs are added before their saved progress is loaded, and cancel marks are
@@ -194,6 +199,7 @@
   auto isCancel = [](const StoreItem& aItem) {
     return !keys::SuffixAfter(aItem.key_, keys::kCancelPrefix).empty();
   };
+  movedJobs_.clear();
   auto cancels =
     std::stable_partition(aItems.begin(), aItems.end(), std::not_fn(isCancel));
   std::for_each(
@@ -226,6 +232,9 @@
       keys::SuffixAfter(aEvent.item_.key_, keys::kJobPrefix);
     if (!job.empty()) {
       scheduler_.ForgetJob(job);
+      if (auto moved = movedJobs_.find(job); moved != movedJobs_.end()) {
+        movedJobs_.erase(moved);
+      }
     }
     return;
   }
@@ -250,9 +259,34 @@
       { { "key", aItem.key_ }, { "error", record.error().Text() } });
     return;
   }
+  if (record->service_ != options_.service_) {
+    NoteJobOfOtherService(*record);
+    return;
+  }
   scheduler_.AddJob(std::move(*record), aItem.created_);
 }
 
+void ServiceLeader::NoteJobOfOtherService(const JobRecord& aRecord)
+{
+  const QueueConfig* queue =
+    config_ == nullptr ? nullptr : config_->FindByName(aRecord.queue_);
+  if (queue == nullptr || queue->service_ != aRecord.service_) {
+    movedJobs_[aRecord.id_] = { aRecord.queue_, aRecord.service_ };
+  }
+}
+
+std::set<std::string> ServiceLeader::EarlierServicesOf(
+  std::string_view aQueue) const
+{
+  std::set<std::string> services;
+  for (const auto& [id, job] : movedJobs_) {
+    if (job.queue_ == aQueue) {
+      services.insert(job.service_);
+    }
+  }
+  return services;
+}
+
 void ServiceLeader::AddJob(JobRecord aRecord, Revision aCreated)
 {
   // Before the saved state is loaded, the job comes with the snapshot.
@@ -297,17 +331,43 @@
   }
 }
 
-void ServiceLeader::SetConfig(const JobsConfig& aConfig)
+bool ServiceLeader::GainsMovedQueue(const JobsConfig& aConfig) const
 {
-  scheduler_.SetAccounts(aConfig.accounts_);
+  return std::any_of(aConfig.queues_.begin(),
+                     aConfig.queues_.end(),
+                     [this](const QueueConfig& aQueue) {
+                       return aQueue.service_ == options_.service_ &&
+                              queuesTakenElsewhere_.count(aQueue.name_) > 0;
+                     });
+}
+
+void ServiceLeader::SetConfig(std::shared_ptr<const JobsConfig> aConfig)
+{
+  scheduler_.SetAccounts(aConfig->accounts_);
+  if (config_ != nullptr) {
+    for (const QueueConfig& before : config_->queues_) {
+      const QueueConfig* now = aConfig->FindByName(before.name_);
+      bool isTaken = before.service_ != options_.service_ &&
+                     (now == nullptr || now->service_ != before.service_);
+      if (isTaken) {
+        queuesTakenElsewhere_.insert(before.name_);
+      }
+    }
+  }
+  bool readsAgain = work_ != nullptr && GainsMovedQueue(*aConfig);
+  config_ = std::move(aConfig);
   queues_.clear();
-  for (const QueueConfig& queue : aConfig.queues_) {
+  for (const QueueConfig& queue : config_->queues_) {
     if (queue.service_ == options_.service_) {
       queues_.insert(queue.name_);
+      queuesTakenElsewhere_.erase(queue.name_);
     }
   }
+  if (readsAgain) {
+    FollowWork();
+  }
   if (!options_.hasPoolManager_) {
-    scheduler_.Caps().SplitEvenly(aConfig.ServedServices().size());
+    scheduler_.Caps().SplitEvenly(config_->ServedServices().size());
   }
   ScheduleDecision();
 }
@@ -396,7 +456,7 @@
     aHold.order_,
     guard_([this, id = aHold.target_, isProbe = aHold.order_.isProbe_](
              const HoldAnswer& aAnswer) {
-      if (isProbe) {
+        if (isProbe) {
         scheduler_.OnProbe(id, aAnswer);
       } else {
         scheduler_.OnHold(id, aAnswer);
--- a/unittests/Node/JobsNodeTest.cpp
+++ b/unittests/Node/JobsNodeTest.cpp
@@ -81,6 +81,8 @@
   CPPUNIT_TEST(WaitingJobsAreNotCountedWithOldKnowledge);
   CPPUNIT_TEST(WaitingJobsAreNotCountedByALeaderThatMayBeReplaced);
   CPPUNIT_TEST(AVmWithAnUnreadableEntryMayHaveReplacedTheLeader);
+  CPPUNIT_TEST(WaitingJobsOfAMovedQueueAreCounted);
+  CPPUNIT_TEST(JobsOfAQueueThatWasAwayAreCounted);
   CPPUNIT_TEST(ACancelledJobIsNotStoredByALateWrite);
   CPPUNIT_TEST(AJobIsNotAcceptedAfterItsCancel);
   CPPUNIT_TEST(AJobStoredDuringItsCancelIsCancelled);
@@ -214,6 +216,50 @@
     CPPUNIT_ASSERT_EQUAL(503, Call("GET", "/q/").code_);
   }
 
+  /// review/10, MIXED: a queue was assigned to another service, and from then
+  /// on clients were told that no job waits, as only that service was asked.
+  void WaitingJobsOfAMovedQueueAreCounted()
+  {
+    StartWithTwoServices();
+    CPPUNIT_ASSERT_EQUAL(200, Call("POST", kJobPath, kJob).code_);
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"Waiting":1})"), WaitingAt("/q/"));
+    store_->Change(format_.configKey_, TwoServices(2, "q", "t"));
+    RunFor(kMargin);
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"Waiting":1})"), WaitingAt("/q/"));
+    // New jobs go to the other service, and are counted with the old ones.
+    CPPUNIT_ASSERT_EQUAL(200, Call("POST", "/q/fedcba9876543210", kJob).code_);
+    RunFor(kMargin);
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"Waiting":2})"), WaitingAt("/q/"));
+    // Another VM learns where the rest is, and asks there.
+    HttpAnswer assigned = Call("GET", "/waiting?service=t&queue=q", "", peers_);
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), assigned.body_);
+    CPPUNIT_ASSERT(FindHeader(assigned.headers_, "Other-Services") ==
+                   std::string_view(R"(["s"])"));
+    HttpAnswer earlier =
+      Call("GET", "/waiting?service=s&queue=q&earlier=1", "", peers_);
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), earlier.body_);
+    // Once the old job is gone, nobody asks its service any more.
+    store_->Remove(keys::Job(kJobId));
+    Millis end = clock_.Now() + kLimit;
+    while (FindHeader(assigned.headers_, "Other-Services")) {
+      CPPUNIT_ASSERT(clock_.Now() < end);
+      RunFor(Millis(20));
+      assigned = Call("GET", "/waiting?service=t&queue=q", "", peers_);
+    }
+  }
+
+  /// As above, with a version in between that lacks the queue.
+  void JobsOfAQueueThatWasAwayAreCounted()
+  {
+    StartWithTwoServices();
+    CPPUNIT_ASSERT_EQUAL(200, Call("POST", kJobPath, kJob).code_);
+    store_->Change(format_.configKey_, TwoServices(2, "n", "s"));
+    RunFor(kMargin);
+    store_->Change(format_.configKey_, TwoServices(3, "q", "t"));
+    RunFor(kMargin);
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"Waiting":1})"), WaitingAt("/q/"));
+  }
+
   /// The error in the answer quotes the body, which may not be UTF-8.
   void MalformedJobsAreRejected()
   {
@@ -385,6 +431,7 @@
       std::tuple_cat(FreeAddresses());
     front_ = settings.front_;
     ready_ = settings.ready_;
+    peers_ = settings.peers_;
     settings.contactTime_ = aContactTime;
     settings.configDeadline_ = kConfigDeadline;
     node_ = std::make_unique<JobsNode>(
@@ -433,6 +480,41 @@
     }
   }
 
+  /// Returns a configuration with the services s and t, and one queue.
+  static std::string TwoServices(int aVersion,
+                                 const std::string& aQueue,
+                                 const std::string& aService)
+  {
+    return R"({"Version":)" + std::to_string(aVersion) +
+           R"(,"Services":[{"Name":"s"},{"Name":"t"}],"Routes":[{"Name":")" +
+           aQueue + R"(","Host":"h","Prefix":"/)" + aQueue +
+           R"(/","Service":")" + aService + R"("}]})";
+  }
+  /// Starts a VM that leads two services, the first of which has a queue.
+  void StartWithTwoServices()
+  {
+    store_->Change(format_.configKey_, TwoServices(1, "q", "s"));
+    Start(kNoContactTime);
+    Millis end = clock_.Now() + kLimit;
+    while (
+      Call("GET", "/waiting?service=t&queue=q&earlier=1", "", peers_).code_ !=
+      200) {
+      CPPUNIT_ASSERT(clock_.Now() < end);
+      RunFor(Millis(20));
+    }
+  }
+  std::string WaitingAt(const char* aPath)
+  {
+    Millis end = clock_.Now() + kLimit;
+    HttpAnswer answer = Call("GET", aPath);
+    while (answer.code_ == 503) {
+      CPPUNIT_ASSERT(clock_.Now() < end);
+      RunFor(Millis(20));
+      answer = Call("GET", aPath);
+    }
+    return answer.body_;
+  }
+
   /// Calls with an API key; an empty one stands for none.
   int CodeWith(const char* aKey, const char* aMethod, const char* aPath)
   {
@@ -478,6 +560,7 @@
   std::unique_ptr<JobsNode> node_;
   Endpoint front_;
   Endpoint ready_;
+  Endpoint peers_;
   std::string apiKey_; ///< sent with each call, unless empty
 };
 
--- a/unittests/Support/FakeStore.h
+++ b/unittests/Support/FakeStore.h
@@ -116,6 +116,12 @@
     history_.push_back({ item, false });
     Notify();
   }
+  /// Removes an item at a new revision.
+  void Remove(const std::string& aKey)
+  {
+    ++revision_;
+    Delete(aKey);
+  }
   /// Writes an item at a new revision, as an operator does.
   void Change(const std::string& aKey, const std::string& aValue)
   {
