--- a/include/coltsfootshed/Jobs/Job.h
+++ b/include/coltsfootshed/Jobs/Job.h
@@ -131,6 +131,9 @@
   Revision progressRevision_ = 0;     ///< store revision of the saved progress
   Revision created_ = 0;              ///< store revision that created the job
   bool isProgressUnreadable_ = false; ///< its tasks may be done
+  /// Became known when a successor may have led already, which starts jobs that
+  /// were accepted under its leadership at once.
+  bool mayBeSuccessors_ = false;
   /// Its account had sent more than its agreed rate when it arrived; not saved.
   bool isBeyondRate_ = false;
 
--- a/include/coltsfootshed/Node/JobsNode.h
+++ b/include/coltsfootshed/Node/JobsNode.h
@@ -50,6 +50,9 @@
   void ApplyConfig(const StoreItem& aItem);
   /// Starts or drops the leader object of a duty; aRevision is 0 when this VM
   /// ceases to lead it.
+  /// Returns the longest lease that a leader of this VM grants.
+  Millis RunLease() const;
+  Millis TakeOverWait() const; ///< see SchedulerSettings
   void OnLeadership(const std::string& aDuty, Revision aRevision);
   void StartRegistry();
   /// Returns the leader of a service in this process, or null.
--- a/include/coltsfootshed/Node/LeaderElection.h
+++ b/include/coltsfootshed/Node/LeaderElection.h
@@ -37,6 +37,10 @@
     /// Shortest time between two planned changes of a duty's leader.
     Millis minLeadTime_{ 5000 };
   };
+  /// Lease of the membership. A dead leader is replaced only after it has
+  /// ended.
+  static constexpr Millis kLease{ 2000 };
+
   /// Called when this VM begins to lead a duty, with the revision of the
   /// leader's key, and with revision 0 when it ceases to.
   using OnLeadership = std::function<void(const std::string&, Revision)>;
@@ -75,6 +79,13 @@
   bool IsMember() const { return lease_ != 0; }
   /// Returns the time since the last successful lease call was sent.
   Millis TimeSinceRenewal() const { return clock_.Now() - lastRenewedAt_; }
+  /// Returns for how long this VM has been registered; 0: it is not.
+  Millis TimeAsMember() const;
+  /// Returns how old Members() was when the last renewal was sent.
+  Millis ListAgeAtRenewal() const
+  {
+    return follower_.Age() - TimeSinceRenewal();
+  }
   /// Returns true if the lease, and with it every leadership, cannot have
   /// ended.
   bool IsConfirmed() const;
--- a/include/coltsfootshed/Node/ServiceLeader.h
+++ b/include/coltsfootshed/Node/ServiceLeader.h
@@ -27,6 +27,9 @@
     AdviceCalls* advice_ = nullptr; ///< null: not configured
     /// Returns how certain it is, now, that this leader has not been replaced.
     std::function<Authority()> authority_;
+    /// Returns whether all leaders before one that began at the given time knew
+    /// this VM as one that reaches the store; none: they did not.
+    std::function<bool(Millis)> wasKnownToPredecessorsOf_{};
   };
   struct Options
   {
@@ -34,6 +37,7 @@
     Fence fence_ = 0;              ///< revision of the leader's key
     Millis lease_{ 5000 };         ///< granted to runs
     Millis longestLease_{ 10000 }; ///< longest lease that a target grants
+    Millis takeOverWait_{ 5000 };  ///< see SchedulerSettings
     Millis longestStop_{ 900 };    ///< from a stop order to the end of the run
     /// How long an ended job can be queried.
     Millis endedJobRetention_{ 120000 };
@@ -108,6 +112,10 @@
   void ScheduleDecision();
   void StartDecisionTimer(Millis aDelay);
   void NoteLateness();
+  /// Tells the scheduler how certain it is that it leads.
+  void ReadAuthority();
+  /// As ReadAuthority(), if the scheduler is certain.
+  void CheckStillConfirmed();
   /// Sends the scheduler's current orders.
   void Decide();
   void Execute(SchedulerOrder& aOrder);
@@ -139,6 +147,7 @@
   Timer retryTimer_;
   Timer deletionTimer_;
   std::function<void()> retryStep_;
+  Millis createdAt_;
   bool loaded_ = false;
   bool decisionScheduled_ = false;
   Millis decisionDueAt_{ 0 };
--- a/include/coltsfootshed/Node/StoreOutageDetector.h
+++ b/include/coltsfootshed/Node/StoreOutageDetector.h
@@ -21,9 +21,15 @@
                       std::string aNode,
                       std::function<void()> aOnChecked);
 
-  /// Returns whether this VM reaches the store; also the answer to another VM's
-  /// request for kPath.
+  /// Returns whether this VM reaches the store.
   bool ReachesStore() const;
+  /// Returns the answer to another VM's request for kPath: as ReachesStore().
+  bool AnswerToPeer();
+  /// Returns true if no leader whose leadership became uncertain shortly before
+  /// aSince, or later, can have taken the store for unreachable from all VMs:
+  /// it knew this VM, which has told nobody so. aExtension is by how much
+  /// longer than its own leases such a leader may go on.
+  bool WasKnownToPredecessorsOf(Millis aSince, Millis aExtension) const;
   /// Returns how certain the leaders of this VM can be, now, that they have not
   /// been replaced.
   Authority CurrentAuthority() const;
--- a/include/coltsfootshed/Scheduling/Scheduler.h
+++ b/include/coltsfootshed/Scheduling/Scheduler.h
@@ -25,25 +25,28 @@
 {
   std::string service_;
   Fence fence_ = 0;
-  /// Longest lease that any scheduler of this version grants. A new scheduler
-  /// waits this long for targets that do not answer.
+  /// Longest lease that a scheduler grants.
   Millis lease_{ 5000 };
-  /// Lease granted while it is not certain that this scheduler still leads. It
-  /// is shorter, so that a successor's wait covers leases granted while it
-  /// takes over.
-  Millis unconfirmedLease_{ 3000 };
+  /// How long a new scheduler waits for targets that do not answer, see also
+  /// SetKnownToPredecessors(). A scheduler that may have been replaced grants
+  /// only leases that end within this time of the last moment at which it
+  /// certainly led. At least lease_.
+  Millis takeOverWait_{ 5000 };
   Millis longestLease_{ 10000 }; ///< targets shorten longer leases to this
   Millis longestStop_{ 900 };    ///< from a stop order to the end of the run
   /// Factor by which a task takes longer on another rack than its data's.
   double remoteDataSlowdown_ = 1;
 };
 
-/// How certain a scheduler can be that it has not been replaced.
+/// How certain a scheduler can be that it has not been replaced. If it has
+/// been, a target's fence stops it, or its successor waits for takeOverWait_.
 enum class Authority
 {
-  Confirmed,        ///< its lease in the store cannot have ended
-  StoreUnreachable, ///< no node reaches the store, so none can have replaced it
-  Doubtful          ///< it may have been replaced
+  Confirmed, ///< its lease in the store cannot have ended
+  /// It may have been replaced by a VM that it does not know; no known one
+  /// reaches the store. It goes on where a successor still waits.
+  StoreUnreachable,
+  Doubtful ///< a known VM reaches the store and may have replaced it
 };
 
 struct TargetHold
@@ -145,7 +148,15 @@
             const Clock& aWallClock,
             SchedulerSettings aSettings);
 
-  void SetAuthority(Authority aAuthority);
+  /// aAsOf is a time on aClock that was read before aAuthority was determined.
+  void SetAuthority(Authority aAuthority, Millis aAsOf);
+  /// Shortens the wait for targets that do not answer to lease_, or not: every
+  /// scheduler that this one may have replaced has granted no lease since its
+  /// own leadership became uncertain, as it knew that this VM reaches the
+  /// store.
+  void SetKnownToPredecessors(bool aKnown) { knownToPredecessors_ = aKnown; }
+  /// Returns the authority that was set last.
+  Authority CurrentAuthority() const { return authority_; }
   /// Notes by how much the owner calls Decide() later than it was due.
   void NoteLateness(Millis aLate) { ownDelay_.Note(aLate); }
 
@@ -281,7 +292,14 @@
 
   /// Returns null if the job is not known.
   Job* FindJob(std::string_view aId);
+  /// Returns how long a lease may last that is granted now; may be negative.
   Millis LeaseToGrant() const;
+  bool MayStart() const;
+  /// Returns true if the answer is of an incarnation that has not answered
+  /// while this scheduler certainly led, so that a successor's fence may be
+  /// unknown to it.
+  bool MayLackSuccessorsFence(const TargetState& aTarget,
+                              const HoldAnswer& aAnswer) const;
   double WorkOf(const JobSpec& aSpec) const;
   using ByAccount = std::map<std::string, Resources, std::less<>>;
 
@@ -393,6 +411,8 @@
   bool ready_ = false;       ///< see IsReady()
   bool steppedDown_ = false; ///< a target has seen a higher fence
   Authority authority_ = Authority::Confirmed;
+  bool knownToPredecessors_ = false; ///< see SetKnownToPredecessors()
+  Millis confirmedAt_{ 0 }; ///< last time at which this scheduler certainly led
   Millis nextDue_{ 0 };
   ChangeNumber change_ = 0;
   RunNumber nextRun_;
--- a/lib/Node/JobsNode.cpp
+++ b/lib/Node/JobsNode.cpp
@@ -26,6 +26,9 @@
 /// the restart of lost tasks, shorter ones end before a new leader can renew
 /// them.
 static constexpr Millis kRunLease{ 5000 };
+/// Shortest time for which a new leader waits for targets that do not answer.
+/// A leader that has lost the store keeps its runs for as long.
+static constexpr Millis kMinTakeOverWait{ 4000 };
 
 /// A leader whose decisions are this late is overloaded: a job of two steps
 /// would spend a tenth of a second and more on waiting for decisions.
@@ -247,6 +250,16 @@
   }
 }
 
+Millis JobsNode::RunLease() const
+{
+  return std::min(kRunLease, settings_.longestTargetLease_ / 2);
+}
+
+Millis JobsNode::TakeOverWait() const
+{
+  return std::max(RunLease(), kMinTakeOverWait);
+}
+
 void JobsNode::OnLeadership(const std::string& aDuty, Revision aRevision)
 {
   if (aDuty == keys::kPoolsDuty) {
@@ -264,13 +277,18 @@
     dependencies_.store_,
     dependencies_.targets_,
     dependencies_.advice_,
-    [this] { return outageDetector_.CurrentAuthority(); }
+    [this] { return outageDetector_.CurrentAuthority(); },
+    [this](Millis aSince) {
+      return outageDetector_.WasKnownToPredecessorsOf(
+        aSince, TakeOverWait() - RunLease());
+    }
   };
   ServiceLeader::Options options;
   options.service_ = aDuty;
   options.fence_ = aRevision;
-  options.lease_ = std::min(kRunLease, settings_.longestTargetLease_ / 2);
+  options.lease_ = RunLease();
   options.longestLease_ = settings_.longestTargetLease_;
+  options.takeOverWait_ = TakeOverWait();
   options.longestStop_ = settings_.longestStop_;
   options.endedJobRetention_ = settings_.endedJobRetention_;
   options.longestWatch_ = timeouts_.watch_;
@@ -320,7 +338,7 @@
   if (PathOf(aExchange->Request().target_) == StoreOutageDetector::kPath) {
     aExchange->Reply({ 200,
                        {},
-                       outageDetector_.ReachesStore()
+                       outageDetector_.AnswerToPeer()
                          ? StoreOutageDetector::kYes
                          : StoreOutageDetector::kNo });
     return;
--- a/lib/Node/LeaderElection.cpp
+++ b/lib/Node/LeaderElection.cpp
@@ -9,8 +9,6 @@
 
 namespace coltsfootshed {
 
-/// Lease of the membership. A dead leader is replaced only after it has ended.
-static constexpr Millis kLease{ 2000 };
 /// Allowance for clock differences and scheduling delays.
 static constexpr Millis kLeaseMargin{ 200 };
 /// Time between renewals; three fit into a lease.
@@ -458,6 +456,11 @@
   }
 }
 
+Millis LeaderElection::TimeAsMember() const
+{
+  return registered_ ? clock_.Now() - registeredAt_ : Millis(0);
+}
+
 bool LeaderElection::IsConfirmed() const
 {
   return lease_ != 0 && TimeSinceRenewal() < kLease - kLeaseMargin;
--- a/lib/Node/ServiceLeader.cpp
+++ b/lib/Node/ServiceLeader.cpp
@@ -15,6 +15,8 @@
 /// Pause between watches for jobs and cancel marks. It may be long, as they are
 /// also announced directly.
 static constexpr Millis kWorkWatchPause{ 700 };
+/// How old a count of waiting jobs may be.
+static constexpr Millis kMaxCountAge{ 2000 };
 /// Number of decisions over which lateness is smoothed.
 static constexpr int kLatenessWindow = 16;
 /// Most ended jobs that one transaction deletes. With three keys each and the
@@ -61,6 +63,7 @@
   settings.fence_ = aOptions.fence_;
   settings.lease_ = aOptions.lease_;
   settings.longestLease_ = aOptions.longestLease_;
+  settings.takeOverWait_ = aOptions.takeOverWait_;
   settings.longestStop_ = aOptions.longestStop_;
   settings.remoteDataSlowdown_ = aOptions.remoteDataSlowdown_;
   return settings;
@@ -79,6 +82,7 @@
   , retryTimer_(dependencies_.base_,
                 [this] { std::exchange(retryStep_, nullptr)(); })
   , deletionTimer_(dependencies_.base_, [this] { DeleteOldItems(); })
+  , createdAt_(dependencies_.clock_.Now())
 {
   LoadRoster();
   deletionTimer_.Start(options_.deletionInterval_);
@@ -263,6 +267,7 @@
     NoteJobOfOtherService(*record);
     return;
   }
+  CheckStillConfirmed();
   scheduler_.AddJob(std::move(*record), aItem.created_);
 }
 
@@ -291,6 +296,7 @@
 {
   // Before the saved state is loaded, the job comes with the snapshot.
   if (loaded_) {
+    CheckStillConfirmed();
     scheduler_.AddJob(std::move(aRecord), aCreated);
     ScheduleDecision();
   }
@@ -325,7 +331,7 @@
     case Authority::Confirmed:
       return work_->Age() <= aMaxAge;
     case Authority::StoreUnreachable:
-      return true; // no VM can accept a job
+      return work_->Age() <= aMaxAge + kMaxCountAge;
     default:
       return false;
   }
@@ -405,6 +411,23 @@
   Observe("decision_late_ms", late);
 }
 
+/// After a freeze of this VM, the last check may be old, so this is called at
+/// each decision.
+void ServiceLeader::ReadAuthority()
+{
+  Millis asOf = dependencies_.clock_.Now();
+  scheduler_.SetAuthority(dependencies_.authority_(), asOf);
+}
+
+/// What a leader learns after it has been replaced must not pass for what it
+/// knew before.
+void ServiceLeader::CheckStillConfirmed()
+{
+  if (scheduler_.CurrentAuthority() == Authority::Confirmed) {
+    ReadAuthority();
+  }
+}
+
 void ServiceLeader::Decide()
 {
   decisionScheduled_ = false;
@@ -413,9 +436,11 @@
     return;
   }
   deciding_ = true;
-  // Read at each decision: after a freeze of this VM, the last check may be
-  // old.
-  scheduler_.SetAuthority(dependencies_.authority_());
+  ReadAuthority();
+  if (!scheduler_.IsReady() && dependencies_.wasKnownToPredecessorsOf_) {
+    scheduler_.SetKnownToPredecessors(
+      dependencies_.wasKnownToPredecessorsOf_(createdAt_));
+  }
   Millis start = dependencies_.clock_.Now();
   std::vector<SchedulerOrder> orders = scheduler_.Decide();
   Millis took = dependencies_.clock_.Now() - start;
@@ -456,7 +481,8 @@
     aHold.order_,
     guard_([this, id = aHold.target_, isProbe = aHold.order_.isProbe_](
              const HoldAnswer& aAnswer) {
-        if (isProbe) {
+      CheckStillConfirmed();
+      if (isProbe) {
         scheduler_.OnProbe(id, aAnswer);
       } else {
         scheduler_.OnHold(id, aAnswer);
@@ -475,6 +501,7 @@
                                 AnswerHandler aHandler)
 {
   return guard_([this, aTarget, aRun, aHandler](const OrderAnswer& aAnswer) {
+    CheckStillConfirmed();
     (scheduler_.*aHandler)(aTarget, aRun, aAnswer);
     if (aAnswer.end_ == OrderEnd::FenceTooLow) {
       StepDown();
--- a/lib/Node/StoreOutageDetector.cpp
+++ b/lib/Node/StoreOutageDetector.cpp
@@ -11,6 +11,11 @@
 static constexpr Millis kAskTimeout{ 400 };
 /// How long another VM's answer that it does not reach the store is valid.
 static constexpr Millis kAnswerLifetime{ 900 };
+/// A leader whose list of VMs was older than this at its last renewal may lack
+/// some that registered long ago.
+static constexpr Millis kMaxListAge{ 2000 };
+/// Allowance for calls on their way and clock differences.
+static constexpr Millis kKnownMargin{ 1000 };
 
 StoreOutageDetector::StoreOutageDetector(event_base* aBase,
                                          const Clock& aClock,
@@ -33,6 +38,24 @@
   return election_.TimeSinceRenewal() < kMaxHealthyAge;
 }
 
+bool StoreOutageDetector::AnswerToPeer()
+{
+  bool reaches = ReachesStore();
+  if (!reaches) {
+    unreachedAt_ = clock_.Now();
+  }
+  return reaches;
+}
+
+bool StoreOutageDetector::WasKnownToPredecessorsOf(Millis aSince,
+                                                   Millis aExtension) const
+{
+  Millis before =
+    LeaderElection::kLease + aExtension + kMaxListAge + kKnownMargin;
+  Millis needed = clock_.Now() - aSince + before;
+  return HasReachedStoreFor(needed) && election_.TimeAsMember() >= needed;
+}
+
 bool StoreOutageDetector::HasReachedStoreFor(Millis aDuration) const
 {
   return ReachesStore() && clock_.Now() - unreachedAt_ >= aDuration;
@@ -87,7 +110,7 @@
                                         now - entry->second <= kAnswerLifetime);
     });
   return noOtherReachesStore && election_.KnowsAllMembers() &&
-             election_.HasLease()
+             election_.HasLease() && election_.ListAgeAtRenewal() <= kMaxListAge
            ? Authority::StoreUnreachable
            : Authority::Doubtful;
 }
--- a/lib/Scheduling/Scheduler.cpp
+++ b/lib/Scheduling/Scheduler.cpp
@@ -11,6 +11,8 @@
 static constexpr RunNumber kRunsPerFence = 1 << 20;
 /// Longest time between two calls of Decide() when no event occurs.
 static constexpr Millis kMaxDecidePause{ 1000 };
+/// Shortest lease under which a task is started.
+static constexpr Millis kMinLeaseToStart{ 1000 };
 /// Jobs older than this when they become known do not count as arriving work:
 /// an earlier scheduler has counted them.
 static constexpr Millis kMaxArrivalAge{ 500 };
@@ -46,8 +48,11 @@
 {
 }
 
-void Scheduler::SetAuthority(Authority aAuthority)
+void Scheduler::SetAuthority(Authority aAuthority, Millis aAsOf)
 {
+  if (aAuthority == Authority::Confirmed) {
+    confirmedAt_ = std::max(confirmedAt_, aAsOf);
+  }
   if (authority_ == aAuthority) {
     return;
   }
@@ -55,16 +60,29 @@
     "authority",
     { { "service", settings_.service_ },
       { "fence", std::to_string(settings_.fence_) },
-      { "authority", std::to_string(static_cast<int>(aAuthority)) } });
+      { "authority", std::to_string(static_cast<int>(aAuthority)) },
+      { "confirmed_ms_ago",
+        std::to_string((clock_.Now() - confirmedAt_).count()) } });
   authority_ = aAuthority;
   checkAllRuns_ = true;
 }
 
 Millis Scheduler::LeaseToGrant() const
 {
-  return authority_ == Authority::Confirmed
-           ? settings_.lease_
-           : std::min(settings_.lease_, settings_.unconfirmedLease_);
+  if (authority_ == Authority::Confirmed) {
+    return settings_.lease_;
+  }
+  return std::min(settings_.lease_,
+                  confirmedAt_ + settings_.takeOverWait_ - clock_.Now());
+}
+
+/// Without confirmed authority, little can be done under a lease that is about
+/// to end for good.
+bool Scheduler::MayStart() const
+{
+  return authority_ == Authority::Confirmed ||
+         (authority_ == Authority::StoreUnreachable &&
+          LeaseToGrant() >= kMinLeaseToStart);
 }
 
 void Scheduler::SetAccounts(std::span<const AccountConfig> aAccounts)
@@ -104,6 +122,7 @@
                 { "steps", std::to_string(aRecord.spec_.steps_.size()) } });
   auto job = std::make_unique<Job>(std::move(aRecord), clock_.Now(), age);
   job->created_ = aCreated;
+  job->mayBeSuccessors_ = authority_ != Authority::Confirmed;
   for (const StepSpec& step : job->Record().spec_.steps_) {
     if (!step.label_.empty()) {
       neededLabels_.insert(step.label_);
@@ -384,7 +403,7 @@
   }
   DecideStops(orders);
   DecidePace(orders);
-  if (authority_ != Authority::Doubtful) {
+  if (MayStart()) {
     DecideStarts(orders);
   }
   DecideRoster(orders);
--- a/lib/Scheduling/SchedulerHolds.cpp
+++ b/lib/Scheduling/SchedulerHolds.cpp
@@ -211,11 +211,12 @@
   }
   // The lease of a target that stays silent is left to expire, as its tasks can
   // start elsewhere only after that.
+  Millis lease = LeaseToGrant();
   bool renews = aTarget.clockRead_ != 0 &&
                 aTarget.failedHolds_ < kMaxFailedHoldsToRenew &&
-                authority_ != Authority::Doubtful;
+                authority_ != Authority::Doubtful && lease > Millis(0);
   if (renews) {
-    hold.leaseUntil_ = aTarget.LeaseEnd(clock_.Now(), LeaseToGrant());
+    hold.leaseUntil_ = aTarget.LeaseEnd(clock_.Now(), lease);
     aTarget.leaseOffered_ = *hold.leaseUntil_;
   }
   bool mayWait =
@@ -254,6 +255,10 @@
     OnCallFailed(target, aAnswer.end_);
     return;
   }
+  if (MayLackSuccessorsFence(target, aAnswer)) {
+    OnCallFailed(target, OrderEnd::NoAnswer);
+    return;
+  }
   Millis now = clock_.Now();
   if (target.failedHolds_ > 1) {
     LogStateChange(
@@ -286,6 +291,9 @@
   TargetState& target = found->second;
   target.probeInFlight_ = false;
   if (aAnswer.end_ == OrderEnd::Done) {
+    if (MayLackSuccessorsFence(target, aAnswer)) {
+      return;
+    }
     ApplyAnswer(target, aAnswer, target.probeSentAt_);
   } else if (aAnswer.end_ == OrderEnd::FenceTooLow ||
              aAnswer.end_ == OrderEnd::WrongTarget) {
@@ -293,6 +301,13 @@
   }
 }
 
+bool Scheduler::MayLackSuccessorsFence(const TargetState& aTarget,
+                                       const HoldAnswer& aAnswer) const
+{
+  return authority_ != Authority::Confirmed &&
+         aAnswer.startedAt_ != aTarget.startedAt_;
+}
+
 /// Applies an answer of a target. Answers on different connections may arrive
 /// out of order: returns false, and changes nothing, if a later one was applied
 /// before.
@@ -320,8 +335,8 @@
     aTarget.held_ = true;
     aTarget.heldSince_ = now;
     // An earlier scheduler may have granted a lease until now.
-    aTarget.leaseGranted_ = std::max(aTarget.leaseGranted_,
-                                     aAnswer.clock_ + settings_.lease_.count());
+    aTarget.leaseGranted_ = std::max(
+      aTarget.leaseGranted_, aAnswer.clock_ + settings_.takeOverWait_.count());
   }
   ApplyEnds(aTarget, aAnswer);
   ApplyRunning(aTarget, aAnswer, aSentAt);
@@ -342,7 +357,10 @@
                      { "fence", std::to_string(settings_.fence_) } });
     return;
   }
-  if (aEnd == OrderEnd::WrongTarget) {
+  // A successor may know already that the target's runs are gone, and have
+  // started their tasks elsewhere.
+  bool mayDropRuns = authority_ == Authority::Confirmed;
+  if (aEnd == OrderEnd::WrongTarget && mayDropRuns) {
     // Another target answers at that address: this one no longer exists.
     LogStateChange("target-replaced",
                    { { "target", aTarget.info_.id_ },
@@ -480,8 +498,9 @@
   Millis now = clock_.Now();
   // Allows 2% for the slowest clock of a target, and 100 ms for a hold that may
   // have been in flight when the earlier scheduler ended.
-  Millis limit =
-    createdAt_ + settings_.lease_ + settings_.lease_ / 50 + Millis(100);
+  Millis wait =
+    knownToPredecessors_ ? settings_.lease_ : settings_.takeOverWait_;
+  Millis limit = createdAt_ + wait + wait / 50 + Millis(100);
   bool allHeld =
     !rosterUnknown_ &&
     std::all_of(targets_.begin(), targets_.end(), [](const auto& aEntry) {
--- a/lib/Scheduling/SchedulerPlacement.cpp
+++ b/lib/Scheduling/SchedulerPlacement.cpp
@@ -218,7 +218,9 @@
   std::vector<ReadyStep> ready;
   Millis unixTime = wallClock_.Now();
   for (auto& [id, job] : openJobs_) {
-    if (job->IsEnded() || job->isProgressUnreadable_) {
+    bool mayBeSuccessors =
+      job->mayBeSuccessors_ && authority_ != Authority::Confirmed;
+    if (job->IsEnded() || job->isProgressUnreadable_ || mayBeSuccessors) {
       continue;
     }
     // An earlier scheduler may have created and started the occurrences that
--- a/unittests/Node/ServiceLeaderTest.cpp
+++ b/unittests/Node/ServiceLeaderTest.cpp
@@ -142,9 +142,12 @@
     store_->silentPrefix_ = keys::kWorkPrefix;
     RunFor(kMaxAge + Millis(500));
     CPPUNIT_ASSERT(!leader_->KnowsJobs(kMaxAge));
-    // While no VM reaches the store, no VM accepts jobs.
+    // A count may be 2 s old. A VM that is not known may accept jobs even if no
+    // known one reaches the store.
     authority_ = Authority::StoreUnreachable;
     CPPUNIT_ASSERT(leader_->KnowsJobs(kMaxAge));
+    RunFor(Millis(2000));
+    CPPUNIT_ASSERT(!leader_->KnowsJobs(kMaxAge));
   }
 
   /// A replayed backlog: each event asks for a decision that takes as long.
--- a/unittests/Scheduling/SchedulerTest.cpp
+++ b/unittests/Scheduling/SchedulerTest.cpp
@@ -18,6 +18,12 @@
   CPPUNIT_TEST(ASilentTargetsLeaseRunsOut);
   CPPUNIT_TEST(RunsAreNotDroppedUnlessAuthorityIsConfirmed);
   CPPUNIT_TEST(DoubtfulAuthorityRenewsNoLeases);
+  CPPUNIT_TEST(AnIsolatedLeadersLeasesEndWithinItsSuccessorsWait);
+  CPPUNIT_TEST(AReplacedLeaderDoesNotLeadAgainWhileTheStoreIsDown);
+  CPPUNIT_TEST(ATakeOverIsShorterIfThePredecessorsKnewThisVm);
+  CPPUNIT_TEST(AnIsolatedLeaderStartsNoJobOfItsSuccessor);
+  CPPUNIT_TEST(AnIsolatedLeaderLearnsNothingFromRestartedTargets);
+  CPPUNIT_TEST(AnIsolatedLeaderDropsNoRunsOfReplacedTargets);
   CPPUNIT_TEST(UnknownRunsBlockTheirTarget);
   CPPUNIT_TEST(OldJobsWaitForAllTargets);
   CPPUNIT_TEST(NewJobsDoNotWait);
@@ -93,20 +99,154 @@
     Register("t2");
     Step();
     AnswerHold("t2", {});
-    scheduler_->SetAuthority(Authority::StoreUnreachable);
+    scheduler_->SetAuthority(Authority::StoreUnreachable, clock_.Now());
     CPPUNIT_ASSERT(SilenceFor("t1", Millis(9000)).empty());
   }
 
   void DoubtfulAuthorityRenewsNoLeases()
   {
     StartOne();
-    scheduler_->SetAuthority(Authority::Doubtful);
+    scheduler_->SetAuthority(Authority::Doubtful, clock_.Now());
     clock_.Advance(Millis(2000));
     for (const TargetHold& hold : OrdersOf<TargetHold>(Decide())) {
       CPPUNIT_ASSERT(!hold.order_.leaseUntil_.has_value());
     }
   }
 
+  /// review/6, TWICE: a leader whose data centre was cut off, and that knew no
+  /// other VM, renewed leases and started tasks without end, beside a successor
+  /// that it did not know.
+  void AnIsolatedLeadersLeasesEndWithinItsSuccessorsWait()
+  {
+    TargetStart start = StartOne();
+    ReportedRun run{ start.order_.task_, start.order_.run_, "", 10, 0 };
+    scheduler_->SetAuthority(Authority::Confirmed, clock_.Now());
+    TargetTime latest =
+      (clock_.Now() + SchedulerSettings().takeOverWait_).count();
+    std::size_t renewals = 0;
+    for (int i = 0; i < 100; ++i) {
+      clock_.Advance(Millis(100));
+      scheduler_->SetAuthority(Authority::StoreUnreachable, clock_.Now());
+      Orders orders = Decide();
+      for (const TargetHold& hold : OrdersOf<TargetHold>(orders)) {
+        renewals += hold.order_.leaseUntil_.has_value() ? 1 : 0;
+        CPPUNIT_ASSERT(hold.order_.leaseUntil_.value_or(0) <= latest);
+        Answer(hold, MakeHoldAnswer({ run }));
+      }
+    }
+    CPPUNIT_ASSERT(renewals > 0); // a short outage of the store ends no run
+    // A leader that keeps its lease after all goes on as before.
+    scheduler_->SetAuthority(Authority::Confirmed, clock_.Now());
+    JobRecord other = Record();
+    other.id_ = "00000000000000bb";
+    scheduler_->AddJob(other, kFence + 2);
+    auto starts = OrdersOf<TargetStart>(Step());
+    CPPUNIT_ASSERT(
+      std::any_of(starts.begin(), starts.end(), [&](const auto& aStart) {
+        return aStart.order_.task_.job_ == other.id_;
+      }));
+  }
+
+  /// review/7, TWICE: a leader that had been replaced while it was cut off
+  /// started tasks again when the store went down for all VMs.
+  void AReplacedLeaderDoesNotLeadAgainWhileTheStoreIsDown()
+  {
+    Register("t1");
+    Decide();
+    AnswerHold("t1", {});
+    scheduler_->SetAuthority(Authority::Confirmed, clock_.Now());
+    AddJob(kFence + 1);
+    clock_.Advance(Millis(2000));
+    scheduler_->SetAuthority(Authority::Doubtful, clock_.Now());
+    CPPUNIT_ASSERT(OrdersOf<TargetStart>(Step()).empty());
+    clock_.Advance(SchedulerSettings().takeOverWait_);
+    scheduler_->SetAuthority(Authority::StoreUnreachable, clock_.Now());
+    for (int i = 0; i < 10; ++i) {
+      Orders orders = Step();
+      CPPUNIT_ASSERT(OrdersOf<TargetStart>(orders).empty());
+      for (const TargetHold& hold : OrdersOf<TargetHold>(orders)) {
+        CPPUNIT_ASSERT(!hold.order_.leaseUntil_.has_value());
+        Answer(hold, MakeHoldAnswer({}));
+      }
+    }
+  }
+
+  /// Only a predecessor that knows no VM which reaches the store goes on beyond
+  /// its leadership.
+  void ATakeOverIsShorterIfThePredecessorsKnewThisVm()
+  {
+    for (bool known : { false, true }) {
+      SchedulerSettings settings;
+      settings.service_ = "stitch";
+      settings.fence_ = kFence;
+      settings.lease_ = Millis(3000);
+      settings.takeOverWait_ = Millis(4000);
+      scheduler_ = std::make_unique<Scheduler>(clock_, clock_, settings);
+      scheduler_->SetKnownToPredecessors(known);
+      TakeOver();
+      AddJob(kFence - 1);
+      CPPUNIT_ASSERT(SilenceFor("t2", Millis(3000)).empty());
+      CPPUNIT_ASSERT_EQUAL(known, !SilenceFor("t2", Millis(500)).empty());
+      CPPUNIT_ASSERT_EQUAL(!known, !SilenceFor("t2", Millis(1000)).empty());
+    }
+  }
+
+  /// A successor starts at once what was accepted under its leadership, which
+  /// its predecessor's watch may show before the change of leader.
+  void AnIsolatedLeaderStartsNoJobOfItsSuccessor()
+  {
+    Register("t1");
+    Decide();
+    AnswerHold("t1", {});
+    scheduler_->SetAuthority(Authority::Confirmed, clock_.Now());
+    Step();
+    scheduler_->SetAuthority(Authority::StoreUnreachable, clock_.Now());
+    AddJob(kFence + 100);
+    CPPUNIT_ASSERT(OrdersOf<TargetStart>(Step()).empty());
+    scheduler_->SetAuthority(Authority::Confirmed, clock_.Now());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), OrdersOf<TargetStart>(Step()).size());
+  }
+
+  /// A target that has restarted no longer refuses the orders of a leader that
+  /// was replaced before.
+  void AnIsolatedLeaderLearnsNothingFromRestartedTargets()
+  {
+    StartOne();
+    Register("t2");
+    Step();
+    AnswerHold("t2", {});
+    scheduler_->SetAuthority(Authority::Confirmed, clock_.Now());
+    Step();
+    scheduler_->SetAuthority(Authority::StoreUnreachable, clock_.Now());
+    HoldAnswer restarted = MakeHoldAnswer({});
+    restarted.startedAt_ = 2;
+    scheduler_->OnHold("t1", restarted);
+    CPPUNIT_ASSERT(OrdersOf<TargetStart>(Step()).empty());
+    scheduler_->OnProbe("t1", restarted);
+    CPPUNIT_ASSERT(OrdersOf<TargetStart>(Step()).empty());
+    scheduler_->SetAuthority(Authority::Confirmed, clock_.Now());
+    scheduler_->OnHold("t1", restarted);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), OrdersOf<TargetStart>(Step()).size());
+  }
+
+  void AnIsolatedLeaderDropsNoRunsOfReplacedTargets()
+  {
+    StartOne();
+    Register("t2");
+    Step();
+    AnswerHold("t2", {});
+    scheduler_->SetAuthority(Authority::Confirmed, clock_.Now());
+    Step();
+    scheduler_->SetAuthority(Authority::StoreUnreachable, clock_.Now());
+    HoldAnswer replaced;
+    replaced.end_ = OrderEnd::WrongTarget;
+    scheduler_->OnHold("t1", replaced);
+    CPPUNIT_ASSERT(OrdersOf<TargetStart>(Step()).empty());
+    scheduler_->SetAuthority(Authority::Confirmed, clock_.Now());
+    scheduler_->OnHold("t1", replaced);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), OrdersOf<TargetStart>(Step()).size());
+  }
+
   void UnknownRunsBlockTheirTarget()
   {
     Register("t1");
@@ -285,7 +425,7 @@
     StartTwoLongRunning();
     std::vector<std::string> vacating = { "t1" };
     scheduler_->SetVacating(1, vacating);
-    scheduler_->SetAuthority(Authority::Doubtful);
+    scheduler_->SetAuthority(Authority::Doubtful, clock_.Now());
     CPPUNIT_ASSERT(OrdersOf<TargetStop>(Step()).empty());
     scheduler_->CancelJob(Record().id_);
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), OrdersOf<TargetStop>(Step()).size());
--- a/unittests/Scheduling/SchedulerWorld.cpp
+++ b/unittests/Scheduling/SchedulerWorld.cpp
@@ -26,7 +26,7 @@
     target.clockRate_ = i % 2 == 0 ? 1.0 : 0.98;
     targets_.emplace(target.info_.id_, target);
   }
-  AddLeader();
+  AddLeader(Authority::Doubtful);
 }
 
 void SchedulerWorld::ReportViolation(const std::string& aWhat)
@@ -54,10 +54,12 @@
   return { info };
 }
 
-void SchedulerWorld::AddLeader()
+void SchedulerWorld::AddLeader(Authority aPredecessors)
 {
   if (!leaders_.empty()) {
-    leaders_.back().scheduler_->SetAuthority(Authority::Doubtful);
+    Scheduler& predecessor = *leaders_.back().scheduler_;
+    predecessor.SetAuthority(Authority::Confirmed, clock_.Now());
+    predecessor.SetAuthority(aPredecessors, clock_.Now());
   }
   SchedulerSettings settings;
   settings.service_ = kService;
@@ -117,7 +119,10 @@
   KnownJob& job = jobs_[aRecord.id_];
   job.record_ = aRecord;
   job.created_ = ++revision_;
-  leaders_.back().scheduler_->AddJob(aRecord, job.created_);
+  // Leaders that were replaced may see it in the store, too.
+  for (Leader& leader : leaders_) {
+    leader.scheduler_->AddJob(aRecord, job.created_);
+  }
 }
 
 void SchedulerWorld::Submit(unsigned aPick)
@@ -397,9 +402,9 @@
   }
 }
 
-void SchedulerWorld::TakeOver(unsigned)
+void SchedulerWorld::TakeOver(unsigned aPick)
 {
-  AddLeader();
+  AddLeader(aPick % 2 == 0 ? Authority::Doubtful : Authority::StoreUnreachable);
 }
 
 void SchedulerWorld::Vacate(unsigned aPick)
--- a/unittests/Scheduling/SchedulerWorld.h
+++ b/unittests/Scheduling/SchedulerWorld.h
@@ -113,8 +113,8 @@
 
   void AddJob(JobRecord aRecord);
   /// Adds a successor that loads the saved state. The leader before it goes on
-  /// with doubtful authority.
-  void AddLeader();
+  /// with an authority that is not confirmed.
+  void AddLeader(Authority aPredecessors);
   /// Returns the scheduler with an id, or null if it has been removed.
   Scheduler* Find(std::uint64_t aId);
   /// Lets a scheduler decide and carries out its orders; calls to targets wait
