--- a/include/coltsfootshed/Scheduling/Scheduler.h
+++ b/include/coltsfootshed/Scheduling/Scheduler.h
@@ -46,7 +46,7 @@
   /// It may have been replaced by a VM that it does not know; no known one
   /// reaches the store. It goes on where a successor still waits.
   StoreUnreachable,
-  Doubtful ///< a known VM reaches the store and may have replaced it
+  Doubtful ///< a VM that may reach the store may have replaced it
 };
 
 struct TargetHold
