--- a/lib/Scheduling/SchedulerHolds.cpp
+++ b/lib/Scheduling/SchedulerHolds.cpp
@@ -392,7 +392,7 @@
                    { "runs", std::to_string(aTarget.runs_.size()) } });
   if (aTarget.startedAt_ != 0) {
     // Runs whose start got no answer, or was answered after the request was
-    // sent, are kept: the start may have reached the new incarnation.
+    // sent, are kept until an answer shows that they are missing.
     DropRuns(
       aTarget, "target has a new incarnation", [&](const RunState& aRun) {
         return aRun.answeredAt_ > Millis(0) && aRun.answeredAt_ < aSentAt &&
@@ -403,8 +403,8 @@
   aTarget.processed_ = 0;
   aTarget.acknowledged_ = 0;
   aTarget.unsaved_.clear();
-  // Leases computed from the previous incarnation's clock may last up to the
-  // longest lease that a target accepts.
+  // A leader of an earlier version may have sent a lease by the previous
+  // incarnation's clock, which lasts as long as a target allows.
   aTarget.leaseGranted_ = aTarget.startedAt_ == 0
                             ? 0
                             : aAnswer.clock_ + settings_.longestLease_.count();
