--- a/lib/Accounts/CapUsage.cpp
+++ b/lib/Accounts/CapUsage.cpp
@@ -15,8 +15,8 @@
                                                          &Resources::gpu_ };
 
 /// Returns the part of a cap that an amount is. What is not limited is no part
-/// of it. Rounded down, so that amounts which fill the cap together fit; a share
-/// is exceeded by less than a billionth of the cap.
+/// of it. Rounded down, so that amounts which fill the cap together fit; a
+/// share is exceeded by less than a billionth of the cap.
 static CapShare ShareOf(const Resources& aAmount, const Resources& aCap)
 {
   CapShare share = 0;
