--- a/review/stand-ins-3/fleet.py
+++ b/review/stand-ins-3/fleet.py
@@ -19,6 +19,7 @@
 import sys
 import tempfile
 import time
+import zlib
 from urllib.parse import parse_qs, unquote, urlsplit
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -30,14 +31,23 @@
     return time.monotonic() * 1000
 
 
+given_ports = set()
+
+
 def free_ports(count):
-    """Returns ports that were free together."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind((HOST, 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """Returns ports that are free now, below those that the system gives to
+    outgoing connections."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(12000, 32000)
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in given_ports:
+            given_ports.add(port)
+            ports.append(port)
     return ports
 
 
@@ -424,6 +434,9 @@
             return self.refuse("old")
         if body["UntilMs"] <= self.clock():
             return self.refuse("late")
+        if not self.platform.has_ticket(self, body):
+            self.extend(body["UntilMs"])
+            return self.refuse("ticket")
         self.extend(body["UntilMs"])
         lasts = re.search(r"ms=(\d+)", body["Spec"])
         self.runs[task] = {"run": number, "began": self.clock(),
@@ -540,6 +553,8 @@
         self.waves = {}
         # Recent tail latency of a task that serves, or processor time in use.
         self.metric = lambda runner, task: 0
+        self.has_ticket = lambda runner, body: True
+        self.advice_port = None
         self.cloud = Cloud(self)
         self.spare = None
         self.upkeep_listeners = []
@@ -583,6 +598,56 @@
             listener(runner, task, run, how)
 
 
+class AdviceService:
+    """Knows which runners may run a step: about half of them. Handles one call
+    at a time, in turn."""
+
+    DECIDE_S = 0.05
+    EACH_S = 0.01
+    VALID_MS = 3000
+    MOST_WAITING = 32
+
+    def __init__(self, platform):
+        self.platform = platform
+        self.turn = asyncio.Lock()
+        self.waiting = 0
+        self.tickets = {}  # step and runner: ticket and the end of its validity
+        self.port = free_ports(1)[0]
+        self.http = HttpServer(self.handle)
+        platform.advice_port = self.port
+        platform.has_ticket = self.has_ticket
+
+    async def start(self):
+        await self.http.start(self.port)
+
+    def has_ticket(self, runner, body):
+        step = body["Task"].rsplit(".", 1)[0]
+        ticket, end = self.tickets.get((step, runner.id), (None, 0))
+        return ticket is not None and body.get("Ticket") == ticket and \
+            now_ms() < end
+
+    async def handle(self, method, path, query, headers, body):
+        step, workers = body["Step"], body["Workers"]
+        if self.waiting >= self.MOST_WAITING:
+            self.platform.record("advice-refused", step=step)
+            return 429, {}
+        self.waiting += 1
+        asked = now_ms()
+        async with self.turn:
+            self.waiting -= 1
+            await asyncio.sleep(self.DECIDE_S + self.EACH_S * len(workers))
+        granted = []
+        for worker in workers:
+            if zlib.crc32(f"{step}/{worker}".encode()) % 2 == 0:
+                ticket = f"{random.randrange(16 ** 12):012x}"
+                self.tickets[step, worker] = (ticket, now_ms() + self.VALID_MS)
+                granted.append([worker, ticket])
+        self.platform.record("advice-given", step=step, workers=len(workers),
+                             granted=len(granted),
+                             after_ms=int(now_ms() - asked))
+        return 200, {"Granted": granted, "ValidMs": self.VALID_MS}
+
+
 class EntryVm:
     """A process under test, started with the command of the deploy file."""
 
@@ -593,6 +658,7 @@
         self.cloud = cloud
         self.bounds = bounds or {}
         self.front, self.ready, self.control, self.peers = free_ports(4)
+        self.store_port = platform.store.port
         self.process = None
 
     def settings(self):
@@ -612,7 +678,10 @@
                  'Serves = ["front"]', f'Ip = "{HOST}"', 'Zone = "z1"',
                  'Region = "r"', f"PortRange = [{self.peers},{self.peers}]",
                  "Seeds = []", "Bootstrap = true", "HeartbeatMs = 1500",
-                 'Orders = "rpc"', "[Zones]", 'z1 = "r"', "[Listen]",
+                 'Orders = "rpc"'] + (
+                     [f'Advice = "{HOST}:{self.platform.advice_port}"']
+                     if self.platform.advice_port else []) + [
+                 "[Zones]", 'z1 = "r"', "[Listen]",
                  f'Front = "{HOST}:{self.front}"',
                  f'Ready = "{HOST}:{self.ready}"',
                  f'Control = "{HOST}:{self.control}"',
@@ -620,7 +689,7 @@
                  "MaxFds = 4100", "LinkMbps = 1000.0", "DiskMb = 0", "[Bounds]"]
         lines += [f"{name} = {json.dumps(value)}"
                   for name, value in bounds.items()]
-        lines += ["[platform]", f'Addr = "{HOST}:{self.platform.store.port}"',
+        lines += ["[platform]", f'Addr = "{HOST}:{self.store_port}"',
                   'form = "kv"', "WritesPerS = 400", "ReadsPerS = 2000",
                   "HistoryS = 20", "ValueBytes = 1048576", "MinTtlMs = 1000"]
         if self.cloud:
