caps: services take turns for work that does not fit into their share

Cause: the cap is divided by what each service asks for, in equal parts where it does not suffice. No part holds a task, so all go on asking and nothing changes. Likewise a long queue in one service kept the cap from another's next task, and small tasks of a service kept its share from a larger one before them.

Fix: a leader reports the share that its next unit of work needs, a task or a whole gang for which targets have room. While a unit has that share, nothing else of the account starts in its service. A service whose share is smaller gets a turn, for which runs of other services make room by not being replaced. A turn ends with a start, or a second after the unit could have started, so work that cannot be placed keeps nothing back. Runs that never end are not waited for. Where each unit fits into its share nothing changes.

--- a/include/coltsfootshed/Accounts/CapDivider.h
+++ b/include/coltsfootshed/Accounts/CapDivider.h
@@ -8,6 +8,11 @@
 /// not for a leader or a divider that takes over halfway: a share is lowered in
 /// the table only after the service's leader has confirmed a lower limit, on
 /// condition that this leader still leads, and raised only in the same write.
+///
+/// Also answers work that does not fit into an equal part, such as one task of
+/// a third of the cap in each of four services. Services whose next unit of
+/// work does not fit into their share take turns: the one whose turn it is gets
+/// the share for that unit, and the others start only what fits beside it.
 #ifndef COLTSFOOTSHED_ACCOUNTS_CAPDIVIDER_H
 #define COLTSFOOTSHED_ACCOUNTS_CAPDIVIDER_H
 
@@ -71,12 +76,48 @@
     const AccountUse* use_ = nullptr; ///< null: no fresh report
     CapShare goal_ = 0;
     CapShare next_ = 0; ///< in the next table
+
+    /// Returns what cannot be taken back, as it does not end by itself.
+    CapShare Fixed() const { return use_ == nullptr ? share_ : use_->lasting_; }
+    /// Returns the share for its next unit; 0 if it has none.
+    CapShare Needed() const { return use_ == nullptr ? 0 : use_->needed_; }
+  };
+  /// The turn of a service to start a unit for which its share was too small.
+  struct Turn
+  {
+    std::string service_;
+    CapShare needed_ = 0; ///< see AccountUse
+    /// AccountUse::starts_ when the service was first seen to have the share.
+    std::optional<std::uint64_t> startsAtGrant_;
+    /// When the unit could first have started.
+    std::optional<Millis> readySince_;
+  };
+  /// The turns within one account's cap.
+  struct Turns
+  {
+    std::optional<Turn> current_;
+    /// When the last turn of a service ended, by service.
+    std::map<std::string, Millis, std::less<>> endedAt_;
   };
 
   void DivideAccount(const std::string& aAccount, CapTable& aNext);
   void SettleAccount(const std::string& aAccount, CapTable& aNext) const;
   std::vector<Part> PartsOf(const std::string& aAccount) const;
-  static void SetGoals(std::vector<Part>& aParts);
+  /// Sets the goals of an account's parts. aTurn is the part whose turn it is,
+  /// or null.
+  void SetGoals(const Turns& aTurns,
+                const Part* aTurn,
+                std::vector<Part>& aParts) const;
+  /// Returns the part whose turn it is, or null if no service needs one.
+  Part* TurnOf(const std::string& aAccount, std::vector<Part>& aParts);
+  bool HasTurnEnded(std::span<const Part> aParts,
+                    const Part& aPart,
+                    Turn& aTurn) const;
+  /// Returns the share that is left for a part if the others keep only what
+  /// cannot be taken from them.
+  static CapShare AttainableFor(std::span<const Part> aParts,
+                                const Part& aPart);
+  void SetAttainable(const std::string& aAccount, std::span<const Part> aParts);
   bool AreUsesKnown() const;
   const Report* FreshReport(const std::string& aService) const;
   void SetCeiling(const std::string& aService,
@@ -102,6 +143,9 @@
   Millis nextWriteAt_{ 0 };
   /// Since when some service lacks a part of an account's cap, by account.
   std::map<std::string, Millis> shortSince_;
+  std::map<std::string, Turns, std::less<>> turns_; ///< by account
+  /// What services can get of a cap, where that is not the whole, by service.
+  std::map<std::string, CapShares, std::less<>> attainable_;
   std::set<std::string> untold_;
   std::set<std::string> lowered_; ///< services lowered by the next write
 };
--- a/include/coltsfootshed/Accounts/CapShares.h
+++ b/include/coltsfootshed/Accounts/CapShares.h
@@ -46,15 +46,24 @@
   std::optional<CapShares> shares_;
   /// Limits below the shares, which are to be taken back.
   CapShares ceilings_;
+  /// The most that the service can get, by account, as runs that do not end by
+  /// themselves have the rest; the whole cap for accounts that are not listed.
+  CapShares attainable_;
 };
 
 /// What one account uses in a service, as shares of its cap.
 struct AccountUse
 {
   std::string account_;
-  CapShare limit_ = 0; ///< beyond which the leader starts nothing
-  CapShare used_ = 0;  ///< by runs
-  CapShare asked_ = 0; ///< by runs and by tasks that could start now
+  CapShare limit_ = 0;   ///< beyond which the leader starts nothing
+  CapShare used_ = 0;    ///< by runs
+  CapShare asked_ = 0;   ///< by runs and by tasks that could start now
+  CapShare lasting_ = 0; ///< by runs that do not end by themselves
+  /// The limit under which the next unit of work starts once all but the
+  /// lasting runs have ended; 0: nothing waits for the cap. A unit is a task,
+  /// or all tasks of a gang.
+  CapShare needed_ = 0;
+  std::uint64_t starts_ = 0; ///< units started by this leader so far
 };
 
 /// Returned by the leader of a service.
--- a/include/coltsfootshed/Accounts/CapUsage.h
+++ b/include/coltsfootshed/Accounts/CapUsage.h
@@ -40,16 +40,36 @@
   /// older than one applied before change nothing, as they may arrive late.
   void Apply(Fence aFence, const CapOrder& aOrder);
 
-  void AddRun(const std::string& aAccount, const Resources& aTakes);
-  void RemoveRun(const std::string& aAccount, const Resources& aTakes);
+  /// aLasts: the run does not end by itself.
+  void AddRun(const std::string& aAccount,
+              const Resources& aTakes,
+              bool aLasts);
+  void RemoveRun(const std::string& aAccount,
+                 const Resources& aTakes,
+                 bool aLasts);
   /// Sets what accounts may have running beside the added runs: started by an
   /// earlier leader on targets that have not answered yet.
   void SetUnconfirmed(std::map<std::string, Resources, std::less<>> aByAccount);
 
-  /// Returns true if a run that takes aTakes fits into the account's share.
-  /// Counts and logs the moment when an account reaches its share. An account
-  /// that is not known is new, and then known within a second, or was removed.
+  /// Returns true if a unit of work that takes aTakes fits into the account's
+  /// share, and no other one comes first. Counts and logs the moment when an
+  /// account reaches its share. An account that is not known is new, and then
+  /// known within a second, or was removed.
   bool MayStart(const std::string& aAccount, const Resources& aTakes);
+  /// Counts a unit that was started.
+  void CountStart(const std::string& aAccount);
+  /// Begins a decision, in which the units are offered in the order in which
+  /// they should start: forgets which ones come next.
+  void ForgetNext() { next_.clear(); }
+  /// Returns true if a unit that does not fit into the account's share now
+  /// would be the account's next: none is yet, and this one fits into what the
+  /// service can get.
+  bool CouldBeNext(const std::string& aAccount, const Resources& aTakes) const;
+  /// Notes that this unit is the account's next, so that the service asks for
+  /// the share that it needs. If the service has that share already, nothing
+  /// else of the account starts before this unit, which then waits only for
+  /// runs to end.
+  void SetNext(const std::string& aAccount, const Resources& aTakes);
   /// Returns true if some account has a cap.
   bool IsOn() const { return isOn_; }
 
@@ -63,6 +83,12 @@
   void Settle(const CapOrder& aOrder);
   bool IsHeld(std::string_view aAccount) const;
   CapShare LimitOf(std::string_view aAccount) const;
+  bool WaitsForNext(std::string_view aAccount, const Resources& aCap) const;
+  /// Returns the limit under which a unit starts once only lasting runs are
+  /// left.
+  CapShare NeededFor(std::string_view aAccount,
+                     const Resources& aCap,
+                     const Resources& aTakes) const;
   Resources InUse(std::string_view aAccount) const;
   CapShare ShareInUse(std::string_view aAccount, const Resources& aCap) const;
 
@@ -81,7 +107,12 @@
   Fence orderFence_ = 0;
   std::uint64_t orderNumber_ = 0; ///< of the last order under orderFence_
   CapShares ceilings_;
+  CapShares attainable_;
   std::map<std::string, Resources, std::less<>> running_;
+  std::map<std::string, Resources, std::less<>> lasting_; ///< of running_
+  /// Units that come next, with what they take, by account.
+  std::map<std::string, Resources, std::less<>> next_;
+  std::map<std::string, std::uint64_t, std::less<>> starts_;
   std::map<std::string, Resources, std::less<>> unconfirmed_;
   std::set<std::string, std::less<>> limited_; ///< accounts at their share
 };
--- a/include/coltsfootshed/Scheduling/Scheduler.h
+++ b/include/coltsfootshed/Scheduling/Scheduler.h
@@ -374,6 +374,14 @@
   Millis RemainingChain(const Job& aJob, const Occurrence& aOccurrence) const;
   Millis EstimateOf(const StepSpec& aStep) const;
   void PlaceStep(const ReadyStep& aStep, std::vector<SchedulerOrder>& aOrders);
+  void NoteCapped(const ReadyStep& aStep,
+                  int aTasks,
+                  std::vector<SchedulerOrder>& aOrders);
+  int TasksThatFit(const TargetState& aTarget,
+                   const StepSpec& aSpec,
+                   const Resources& aNeeds,
+                   const TaskName& aStep,
+                   int aMost) const;
   void PlaceGang(const ReadyStep& aStep, std::vector<SchedulerOrder>& aOrders);
   bool WantsStart(const TaskProgress& aTask, const StepSpec& aSpec) const;
   bool IsUnknownToEarlierSchedulers(const Job& aJob) const;
--- a/lib/Accounts/CapDivider.cpp
+++ b/lib/Accounts/CapDivider.cpp
@@ -17,6 +17,13 @@
 /// How long they wait: a task may lack just as much.
 static constexpr Millis kMaxRaiseDelay{ 1000 };
 
+/// How long a service keeps its turn without starting the unit, from when it
+/// could: it may not find room for it after all.
+static constexpr Millis kMaxUnusedTurn{ 1000 };
+/// Most by which a sum of shares that were rounded down is less than the share
+/// of the sum.
+static constexpr CapShare kRounding = 2;
+
 static bool IsBefore(const AccountUse& aLeft, const AccountUse& aRight)
 {
   return aLeft.account_ < aRight.account_;
@@ -37,6 +44,9 @@
       caps_[account.name_] = account.cap_;
     }
   }
+  std::erase_if(turns_, [&](const auto& aEntry) {
+    return accounts_.count(aEntry.first) == 0;
+  });
   std::string digest = DigestOfCaps(aAccounts);
   areUsesKnown_ &= digest == capsDigest_;
   capsDigest_ = std::move(digest);
@@ -97,6 +107,9 @@
   if (auto found = ceilings_.find(aService); found != ceilings_.end()) {
     order.ceilings_ = found->second;
   }
+  if (auto found = attainable_.find(aService); found != attainable_.end()) {
+    order.attainable_ = found->second;
+  }
   untold_.erase(aService);
   return order;
 }
@@ -162,42 +175,180 @@
   return parts;
 }
 
-/// Sets what each service should have: all that it asks for if the cap allows,
-/// and an equal part of the rest; otherwise as much as brings those that lack
-/// something to the same level. Nothing is taken from what runs, nor from a
-/// service whose leader does not report.
-void CapDivider::SetGoals(std::vector<Part>& aParts)
+CapShare CapDivider::AttainableFor(std::span<const Part> aParts,
+                                   const Part& aPart)
+{
+  CapShare attainable = kWholeCap;
+  for (const Part& other : aParts) {
+    attainable -= &other == &aPart ? 0 : other.Fixed();
+  }
+  return std::max<CapShare>(0, attainable);
+}
+
+void CapDivider::SetAttainable(const std::string& aAccount,
+                               std::span<const Part> aParts)
+{
+  for (const Part& part : aParts) {
+    CapShares& attainable = attainable_[part.service_];
+    CapShare most = AttainableFor(aParts, part);
+    bool asks = part.use_ != nullptr && part.use_->asked_ > part.share_;
+    if (asks && most < kWholeCap) {
+      attainable[aAccount] = most;
+    } else {
+      attainable.erase(aAccount);
+    }
+  }
+}
+
+/// Returns true if the service has started a unit since it got the share for
+/// the one that was next, or has not done so although it could, or can no
+/// longer get the share.
+bool CapDivider::HasTurnEnded(std::span<const Part> aParts,
+                              const Part& aPart,
+                              Turn& aTurn) const
+{
+  const AccountUse& use = *aPart.use_;
+  if (use.needed_ > 0) {
+    aTurn.needed_ = use.needed_;
+  }
+  if (use.limit_ < aTurn.needed_) {
+    return use.needed_ == 0 || aTurn.needed_ > AttainableFor(aParts, aPart);
+  }
+  if (!aTurn.startsAtGrant_ || use.starts_ < *aTurn.startsAtGrant_) {
+    aTurn.startsAtGrant_ = use.starts_;
+  }
+  CapShare unit = use.needed_ - use.lasting_;
+  bool couldStart =
+    use.needed_ == 0 || use.used_ + unit <= use.limit_ + kRounding;
+  if (couldStart && !aTurn.readySince_) {
+    aTurn.readySince_ = clock_.Now();
+  }
+  return use.asked_ <= use.used_ || use.starts_ > *aTurn.startsAtGrant_ ||
+         (aTurn.readySince_ &&
+          clock_.Now() - *aTurn.readySince_ >= kMaxUnusedTurn);
+}
+
+CapDivider::Part* CapDivider::TurnOf(const std::string& aAccount,
+                                     std::vector<Part>& aParts)
+{
+  Turns& turns = turns_[aAccount];
+  if (turns.current_) {
+    Turn& turn = *turns.current_;
+    auto part =
+      std::find_if(aParts.begin(), aParts.end(), [&](const Part& aPart) {
+        return aPart.service_ == turn.service_;
+      });
+    // A service that has lost its leader keeps its place.
+    bool hasLeader = part != aParts.end() && part->use_ != nullptr;
+    if (hasLeader && !HasTurnEnded(aParts, *part, turn)) {
+      return &*part;
+    }
+    bool hadShare = turn.startsAtGrant_.has_value();
+    if (hadShare) {
+      turns.endedAt_[turn.service_] = clock_.Now();
+    }
+    LogDecision("cap-turn-ended",
+                { { "account", aAccount },
+                  { "service", turn.service_ },
+                  { "had_share", hadShare ? "1" : "0" } });
+    turns.current_.reset();
+  }
+  Part* next = nullptr;
+  Millis nextEndedAt{ 0 };
+  for (Part& part : aParts) {
+    if (part.Needed() <= part.share_ ||
+        part.Needed() > AttainableFor(aParts, part)) {
+      continue;
+    }
+    auto ended = turns.endedAt_.find(part.service_);
+    Millis endedAt =
+      ended == turns.endedAt_.end() ? Millis::min() : ended->second;
+    if (next == nullptr || endedAt < nextEndedAt) {
+      next = &part;
+      nextEndedAt = endedAt;
+    }
+  }
+  if (next == nullptr) {
+    return nullptr;
+  }
+  turns.current_ =
+    Turn{ next->service_, next->Needed(), std::nullopt, std::nullopt };
+  LogDecision("cap-turn",
+              { { "account", aAccount },
+                { "service", next->service_ },
+                { "share", std::to_string(next->share_) },
+                { "needed", std::to_string(next->Needed()) },
+                { "used", std::to_string(next->use_->used_) } });
+  return next;
+}
+
+/// Sets what each service should have. Nothing is taken from runs that do not
+/// end by themselves, nor from a service whose leader does not report. Of the
+/// rest, in this order: the service whose turn it is gets the share for its
+/// next unit; services keep what they use; those that lack the share for their
+/// next unit get it, as far as it is there whole; then all that is asked for,
+/// or as much as brings those that lack something to the same level; and an
+/// equal part of what is left.
+void CapDivider::SetGoals(const Turns& aTurns,
+                          const Part* aTurn,
+                          std::vector<Part>& aParts) const
 {
   CapShare room = kWholeCap;
   std::vector<Part*> open;
   for (Part& part : aParts) {
-    if (part.use_ == nullptr) {
-      room -= part.share_;
-    } else {
-      part.goal_ = part.use_->used_;
-      room -= part.goal_;
+    part.goal_ = part.Fixed();
+    room -= part.goal_;
+    if (part.use_ != nullptr) {
       open.push_back(&part);
     }
   }
-  if (open.empty() || room <= 0) {
-    return;
+  room = std::max<CapShare>(0, room);
+  auto raise = [&](Part& aPart, CapShare aBy) {
+    CapShare given = std::clamp<CapShare>(aBy, 0, room);
+    aPart.goal_ += given;
+    room -= given;
+  };
+  CapShare running = 0;
+  for (Part* part : open) {
+    if (part == aTurn) {
+      raise(*part, aTurns.current_->needed_ - part->goal_);
+    }
+    running += std::max<CapShare>(0, part->use_->used_ - part->goal_);
+  }
+  CapShare roomForRunning = std::min(room, running);
+  for (Part* part : open) {
+    CapShare runs = std::max<CapShare>(0, part->use_->used_ - part->goal_);
+    raise(*part, runs == 0 ? 0 : ScaleShare(roomForRunning, runs, running));
+  }
+  // Services whose last turn is the longest ago come first.
+  auto lastTurn = [&](const Part* aPart) {
+    auto ended = aTurns.endedAt_.find(aPart->service_);
+    return ended == aTurns.endedAt_.end() ? Millis::min() : ended->second;
+  };
+  std::stable_sort(
+    open.begin(), open.end(), [&](const Part* aLeft, const Part* aRight) {
+      return lastTurn(aLeft) < lastTurn(aRight);
+    });
+  for (Part* part : open) {
+    CapShare missing = part->Needed() - part->goal_;
+    if (missing <= room) {
+      raise(*part, missing);
+    }
   }
   // First what is asked for, from the smallest need on, then the rest.
-  std::sort(
+  std::stable_sort(
     open.begin(), open.end(), [](const Part* aLeft, const Part* aRight) {
       return aLeft->use_->asked_ - aLeft->goal_ <
              aRight->use_->asked_ - aRight->goal_;
     });
   auto left = static_cast<CapShare>(open.size());
   for (Part* part : open) {
-    CapShare needed = std::max<CapShare>(0, part->use_->asked_ - part->goal_);
-    CapShare given = std::min(needed, room / left);
-    part->goal_ += given;
-    room -= given;
+    raise(*part, std::min(part->use_->asked_ - part->goal_, room / left));
     --left;
   }
+  CapShare rest = open.empty() ? 0 : room / static_cast<CapShare>(open.size());
   for (Part* part : open) {
-    part->goal_ += room / static_cast<CapShare>(open.size());
+    raise(*part, rest);
   }
 }
 
@@ -225,9 +376,12 @@
   bool isShort = std::any_of(parts.begin(), parts.end(), [](const Part& aPart) {
     return aPart.use_ != nullptr && aPart.use_->asked_ > aPart.share_;
   });
+  const Part* turn = nullptr;
   if (isShort) {
-    SetGoals(parts);
+    turn = TurnOf(aAccount, parts);
+    SetGoals(turns_[aAccount], turn, parts);
   }
+  SetAttainable(aAccount, parts);
   CapShare free = kWholeCap;
   CapShare wanted = 0;
   for (Part& part : parts) {
@@ -262,10 +416,17 @@
   if (!isWorthwhile || free <= 0) {
     return;
   }
+  // What is there goes to the service whose turn it is before the others.
+  CapShare turnRaise =
+    turn == nullptr ? 0 : std::max<CapShare>(0, turn->goal_ - turn->share_);
+  CapShare freeForTurn = std::min(free, turnRaise);
   for (Part& part : parts) {
-    if (part.goal_ > part.share_) {
-      CapShare raise = part.goal_ - part.share_;
-      part.next_ += std::min(raise, ScaleShare(free, raise, wanted));
+    CapShare raise = std::max<CapShare>(0, part.goal_ - part.share_);
+    if (&part == turn) {
+      part.next_ += freeForTurn;
+    } else if (raise > 0) {
+      part.next_ += std::min(
+        raise, ScaleShare(free - freeForTurn, raise, wanted - turnRaise));
     }
     if (part.next_ < part.share_) {
       lowered_.insert(part.service_);
--- a/lib/Accounts/CapShares.cpp
+++ b/lib/Accounts/CapShares.cpp
@@ -27,6 +27,16 @@
   return (aShare + kCoarseUnit - 1) / kCoarseUnit;
 }
 
+/// Returns shares as they are, for fields that earlier versions do not have.
+static Json ExactOf(const CapShares& aShares)
+{
+  Json exact = Json::object();
+  for (const auto& [name, share] : aShares) {
+    exact[name] = share;
+  }
+  return exact;
+}
+
 static Json CoarseOf(const CapShares& aShares)
 {
   Json coarse = Json::object();
@@ -74,7 +84,8 @@
                 { "settled", aOrder.settledCaps_ },
                 { "unsettled", aOrder.unsettled_ },
                 { "ceilings", CoarseOf(aOrder.ceilings_) },
-                { "ceiling_rests", RestsOf(aOrder.ceilings_) } };
+                { "ceiling_rests", RestsOf(aOrder.ceilings_) },
+                { "attainable", ExactOf(aOrder.attainable_) } };
   if (aOrder.shares_) {
     json["shares"] = CoarseOf(*aOrder.shares_);
     json["share_rests"] = RestsOf(*aOrder.shares_);
@@ -91,6 +102,11 @@
   order.settledCaps_ = aJson.at("settled");
   order.unsettled_ = aJson.at("unsettled").get<std::vector<std::string>>();
   order.ceilings_ = SharesFrom(aJson, "ceilings", "ceiling_rests");
+  if (auto found = aJson.find("attainable"); found != aJson.end()) {
+    for (const auto& [account, share] : found->items()) {
+      order.attainable_[account] = IntegerOf(share, kAnyShare);
+    }
+  }
   if (aJson.contains("shares")) {
     order.shares_ = SharesFrom(aJson, "shares", "share_rests");
   }
@@ -107,7 +123,10 @@
                      CoarseUp(use.asked_),
                      use.limit_,
                      use.used_,
-                     use.asked_ });
+                     use.asked_,
+                     use.lasting_,
+                     use.needed_,
+                     use.starts_ });
   }
   return { { "leader", aReport.leader_ },
            { "table", aReport.table_ },
@@ -129,7 +148,15 @@
       return isExact ? IntegerOf(row.at(aColumn + kExactColumns), kAnyShare)
                      : IntegerOf(row.at(aColumn), kSmallCount) * kCoarseUnit;
     };
-    report.accounts_.push_back({ row.at(0), share(1), share(2), share(3) });
+    AccountUse use{ row.at(0), share(1), share(2), share(3) };
+    constexpr std::size_t kUnitColumns = 7; ///< absent in earlier versions
+    if (row.size() > kUnitColumns) {
+      use.lasting_ = IntegerOf(row.at(kUnitColumns), kAnyShare);
+      use.needed_ = IntegerOf(row.at(kUnitColumns + 1), kAnyShare);
+      use.starts_ = static_cast<std::uint64_t>(
+        IntegerOf(row.at(kUnitColumns + 2), kAnyCount));
+    }
+    report.accounts_.push_back(std::move(use));
   }
   return report;
 }
--- a/lib/Accounts/CapUsage.cpp
+++ b/lib/Accounts/CapUsage.cpp
@@ -141,25 +141,45 @@
     SetShares(aOrder.table_, *aOrder.shares_);
   }
   ceilings_ = aOrder.ceilings_;
+  attainable_ = aOrder.attainable_;
   Settle(aOrder);
 }
 
-void CapUsage::AddRun(const std::string& aAccount, const Resources& aTakes)
+void CapUsage::AddRun(const std::string& aAccount,
+                      const Resources& aTakes,
+                      bool aLasts)
 {
-  if (!aAccount.empty()) {
-    running_[aAccount] += aTakes;
+  if (aAccount.empty()) {
+    return;
+  }
+  running_[aAccount] += aTakes;
+  if (aLasts) {
+    lasting_[aAccount] += aTakes;
   }
 }
 
-void CapUsage::RemoveRun(const std::string& aAccount, const Resources& aTakes)
+/// Subtracts an amount; an account with nothing left is erased.
+static void Subtract(std::map<std::string, Resources, std::less<>>& aAmounts,
+                     const std::string& aAccount,
+                     const Resources& aTakes)
 {
-  auto found = running_.find(aAccount);
-  if (found == running_.end()) {
+  auto found = aAmounts.find(aAccount);
+  if (found == aAmounts.end()) {
     return;
   }
   found->second -= aTakes;
   if (found->second == Resources()) {
-    running_.erase(found);
+    aAmounts.erase(found);
+  }
+}
+
+void CapUsage::RemoveRun(const std::string& aAccount,
+                         const Resources& aTakes,
+                         bool aLasts)
+{
+  Subtract(running_, aAccount, aTakes);
+  if (aLasts) {
+    Subtract(lasting_, aAccount, aTakes);
   }
 }
 
@@ -220,7 +240,8 @@
   CapShare limit = LimitOf(aAccount);
   CapShare needed = ShareOf(after, cap->second);
   bool fits =
-    cap->second == Resources() || (needed <= limit && !IsHeld(aAccount));
+    cap->second == Resources() || (needed <= limit && !IsHeld(aAccount) &&
+                                   !WaitsForNext(aAccount, cap->second));
   if (fits) {
     if (limited_.erase(aAccount) > 0) {
       LogDecision("cap-left",
@@ -241,6 +262,52 @@
   return false;
 }
 
+/// Returns true if another unit is the account's next, and the share for it is
+/// there: what else started now would keep it from ever being free.
+bool CapUsage::WaitsForNext(std::string_view aAccount,
+                            const Resources& aCap) const
+{
+  auto next = next_.find(aAccount);
+  return next != next_.end() &&
+         NeededFor(aAccount, aCap, next->second) <= LimitOf(aAccount);
+}
+
+CapShare CapUsage::NeededFor(std::string_view aAccount,
+                             const Resources& aCap,
+                             const Resources& aTakes) const
+{
+  Resources needed = aTakes;
+  if (auto lasting = lasting_.find(aAccount); lasting != lasting_.end()) {
+    needed += lasting->second;
+  }
+  return ShareOf(needed, aCap);
+}
+
+void CapUsage::CountStart(const std::string& aAccount)
+{
+  if (!aAccount.empty()) {
+    ++starts_[aAccount];
+  }
+}
+
+bool CapUsage::CouldBeNext(const std::string& aAccount,
+                           const Resources& aTakes) const
+{
+  auto cap = applied_.find(aAccount);
+  if (cap == applied_.end() || next_.count(aAccount) > 0) {
+    return false;
+  }
+  auto attainable = attainable_.find(aAccount);
+  CapShare most =
+    attainable == attainable_.end() ? kWholeCap : attainable->second;
+  return NeededFor(aAccount, cap->second, aTakes) <= most;
+}
+
+void CapUsage::SetNext(const std::string& aAccount, const Resources& aTakes)
+{
+  next_.try_emplace(aAccount, aTakes);
+}
+
 CapReport CapUsage::Report(
   const std::map<std::string, Resources, std::less<>>& aWaiting) const
 {
@@ -260,6 +327,13 @@
       asked += waiting->second;
     }
     use.asked_ = std::max(use.used_, ShareOf(asked, cap));
+    use.lasting_ = NeededFor(account, cap, Resources());
+    if (auto next = next_.find(account); next != next_.end()) {
+      use.needed_ = NeededFor(account, cap, next->second);
+    }
+    if (auto starts = starts_.find(account); starts != starts_.end()) {
+      use.starts_ = starts->second;
+    }
     report.accounts_.push_back(std::move(use));
   }
   return report;
--- a/lib/Scheduling/Scheduler.cpp
+++ b/lib/Scheduling/Scheduler.cpp
@@ -403,6 +403,7 @@
   }
   DecideStops(orders);
   DecidePace(orders);
+  caps_.ForgetNext();
   if (MayStart()) {
     DecideStarts(orders);
   }
--- a/lib/Scheduling/SchedulerHolds.cpp
+++ b/lib/Scheduling/SchedulerHolds.cpp
@@ -439,13 +439,13 @@
                        const RunState& aState)
 {
   aTarget.AddRun(aRun, aState);
-  caps_.AddRun(aState.account_, aState.takes_);
+  caps_.AddRun(aState.account_, aState.takes_, aState.longRunning_);
 }
 
 void Scheduler::DropRun(TargetState& aTarget, const RunKey& aRun)
 {
   if (const RunState* run = aTarget.FindRun(aRun)) {
-    caps_.RemoveRun(run->account_, run->takes_);
+    caps_.RemoveRun(run->account_, run->takes_, run->longRunning_);
   }
   aTarget.RemoveRun(aRun);
   Job* job = FindJob(aRun.first.job_);
--- a/lib/Scheduling/SchedulerPlacement.cpp
+++ b/lib/Scheduling/SchedulerPlacement.cpp
@@ -380,20 +380,87 @@
   return valid ? &ticket->second : nullptr;
 }
 
+static Resources Times(const Resources& aAmount, int aFactor)
+{
+  return { aAmount.cpu_ * aFactor,
+           aAmount.memory_ * aFactor,
+           aAmount.gpu_ * aFactor };
+}
+
 /// Returns true if a task of the step fits on a target that takes starts.
 /// Vacating targets take none, so the one being emptied does not count.
 bool Scheduler::HasRoomElsewhere(const StepSpec& aSpec,
                                  const TaskName& aStep) const
 {
   return std::any_of(targets_.begin(), targets_.end(), [&](const auto& aEntry) {
-    const TargetState& target = aEntry.second;
-    return MayStartOn(target) && aSpec.taskResources_.FitsInto(target.Free()) &&
-           (aSpec.label_.empty() || target.HasLabel(aSpec.label_)) &&
-           (aSpec.maxPerTarget_ == 0 ||
-            RunsOfStep(target, aStep) < aSpec.maxPerTarget_);
+    return TasksThatFit(aEntry.second, aSpec, aSpec.taskResources_, aStep, 1) >
+           0;
   });
 }
 
+/// Returns how many tasks of a step the target would take now, at most aMost,
+/// if each needs aNeeds. Tickets do not count.
+int Scheduler::TasksThatFit(const TargetState& aTarget,
+                            const StepSpec& aSpec,
+                            const Resources& aNeeds,
+                            const TaskName& aStep,
+                            int aMost) const
+{
+  bool mayTake = MayStartOn(aTarget) &&
+                 (aSpec.label_.empty() || aTarget.HasLabel(aSpec.label_));
+  if (!mayTake) {
+    return 0;
+  }
+  int most = aMost;
+  if (aSpec.maxPerTarget_ > 0) {
+    most = std::min(most, aSpec.maxPerTarget_ - RunsOfStep(aTarget, aStep));
+  }
+  Resources free = aTarget.Free();
+  int fit = 0;
+  while (fit < most && aNeeds.FitsInto(free)) {
+    free -= aNeeds;
+    ++fit;
+  }
+  return fit;
+}
+
+/// Called when the cap of its account keeps a unit of work from starting, one
+/// task of the step or all of them. If the unit could start otherwise, it is
+/// the account's next: what cannot be placed must not keep other work from
+/// starting.
+void Scheduler::NoteCapped(const ReadyStep& aStep,
+                           int aTasks,
+                           std::vector<SchedulerOrder>& aOrders)
+{
+  const JobRecord& record = aStep.job_->Record();
+  const StepSpec& spec =
+    record.spec_.steps_[static_cast<std::size_t>(aStep.step_)];
+  Resources needs = spec.taskResources_;
+  if (spec.bestEffort_) {
+    needs.cpu_ = 0;
+  }
+  Resources unit = Times(spec.taskResources_, aTasks);
+  if (!caps_.CouldBeNext(record.account_, unit) ||
+      IsKnownNotToFit({ needs, spec.label_ })) {
+    return;
+  }
+  TaskName name{ record.id_, aStep.occurrence_->number_, aStep.step_, 0 };
+  int fit = 0;
+  for (const auto& [id, target] : targets_) {
+    fit += TasksThatFit(target, spec, needs, name, aTasks - fit);
+  }
+  if (fit == 0 && spec.maxPerTarget_ == 0) {
+    unfit_.push_back({ needs, spec.label_ });
+  }
+  if (fit < aTasks) {
+    return;
+  }
+  caps_.SetNext(record.account_, unit);
+  if (record.needsTickets_) {
+    AskForAdvice(aStep, aOrders);
+  }
+}
+
 /// Returns true if aFlag is set for any run on the target.
 static bool HasRunWith(const TargetState& aTarget, bool RunState::*aFlag)
 {
@@ -596,6 +663,7 @@
       continue;
     }
     if (!caps_.MayStart(record.account_, spec.taskResources_)) {
+      NoteCapped(aStep, 1, aOrders);
       return;
     }
     TargetState* target = ChooseTarget(aStep, step.tasks_[i], siblingTargets);
@@ -607,6 +675,7 @@
     }
     siblingTargets.push_back(target->info_.id_);
     StartTask(aStep, static_cast<int>(i), ++nextRun_, *target, aOrders);
+    caps_.CountStart(record.account_);
   }
 }
 
@@ -626,15 +695,19 @@
   if (!idle) {
     return;
   }
+  // Members start together or not at all, so that a part of the room under the
+  // cap is of no use to them.
+  if (!caps_.MayStart(record.account_,
+                      Times(spec.taskResources_, spec.tasks_))) {
+    NoteCapped(aStep, spec.tasks_, aOrders);
+    return;
+  }
   // Members are placed one by one; all are taken back if one finds no room.
   std::vector<SchedulerOrder> starts;
   std::vector<std::string> siblingTargets;
   RunNumber run = ++nextRun_;
   for (std::size_t i = 0; i < step.tasks_.size(); ++i) {
-    bool isWithinCap = caps_.MayStart(record.account_, spec.taskResources_);
-    TargetState* target =
-      isWithinCap ? ChooseTarget(aStep, step.tasks_[i], siblingTargets)
-                  : nullptr;
+    TargetState* target = ChooseTarget(aStep, step.tasks_[i], siblingTargets);
     if (target == nullptr) {
       startsInFlight_ -= static_cast<int>(starts.size());
       for (SchedulerOrder& order : starts) {
@@ -643,7 +716,7 @@
                 { start.order_.task_, run });
       }
       unfit_.clear();
-      if (record.needsTickets_ && isWithinCap) {
+      if (record.needsTickets_) {
         AskForAdvice(aStep, aOrders);
       }
       return;
@@ -651,6 +724,7 @@
     siblingTargets.push_back(target->info_.id_);
     StartTask(aStep, static_cast<int>(i), run, *target, starts);
   }
+  caps_.CountStart(record.account_);
   std::move(starts.begin(), starts.end(), std::back_inserter(aOrders));
 }
 
--- a/unittests/Accounts/CapFuzzTest.cpp
+++ b/unittests/Accounts/CapFuzzTest.cpp
@@ -163,15 +163,22 @@
     CapOrder order;
     order.shares_ = table.shares_["a"];
     order.ceilings_ = { { "a", 123456789 } };
+    order.attainable_ = { { "a", 987654321 } };
     CapOrder readOrder = CapOrderFrom(ToJson(order));
     CPPUNIT_ASSERT(readOrder.shares_ == order.shares_);
     CPPUNIT_ASSERT(readOrder.ceilings_ == order.ceilings_);
+    CPPUNIT_ASSERT(readOrder.attainable_ == order.attainable_);
     CapReport report;
-    report.accounts_ = { { "a", 333333333, 250000001, 999999999 } };
+    report.accounts_ = {
+      { "a", 333333333, 250000001, 999999999, 7, 333333335, 12 }
+    };
     AccountUse use = CapReportFrom(ToJson(report)).accounts_.at(0);
     CPPUNIT_ASSERT_EQUAL(CapShare(333333333), use.limit_);
     CPPUNIT_ASSERT_EQUAL(CapShare(250000001), use.used_);
     CPPUNIT_ASSERT_EQUAL(CapShare(999999999), use.asked_);
+    CPPUNIT_ASSERT_EQUAL(CapShare(7), use.lasting_);
+    CPPUNIT_ASSERT_EQUAL(CapShare(333333335), use.needed_);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(12), use.starts_);
   }
 
   /// During an upgrade, both versions read the same table. The earlier one
@@ -188,6 +195,7 @@
       R"({"leader":1,"table":2,"caps":"","accounts":[["a",2500,1,3]]})"));
     CPPUNIT_ASSERT_EQUAL(kWholeCap / 4, report.accounts_.at(0).limit_);
     CPPUNIT_ASSERT_EQUAL(kWholeCap / 10000, report.accounts_.at(0).used_);
+    CPPUNIT_ASSERT_EQUAL(CapShare(0), report.accounts_.at(0).needed_);
   }
 
 private:
--- a/unittests/Accounts/CapWorld.cpp
+++ b/unittests/Accounts/CapWorld.cpp
@@ -71,7 +71,7 @@
   for (Run& run : aService.runs_) {
     run.known_ = run.takes_.cpu_ % 2 == 0;
     if (run.known_) {
-      aService.usage_->AddRun(kAccounts[run.account_], run.takes_);
+      aService.usage_->AddRun(kAccounts[run.account_], run.takes_, run.lasts_);
     }
   }
   aService.targetsAnswered_ = false;
@@ -116,10 +116,17 @@
   Service& service = services_[aPick % kServices];
   std::size_t account = aPick / 8 % 2;
   Resources takes{ 1000 + 997 * static_cast<std::int64_t>(aPick % 31), 0, 0 };
+  bool lasts = aPick % 7 == 0;
+  if (aPick % 3 == 0) {
+    service.usage_->ForgetNext();
+  }
   if (service.usage_->MayStart(kAccounts[account], takes)) {
-    service.usage_->AddRun(kAccounts[account], takes);
-    service.runs_.push_back({ account, takes });
+    service.usage_->AddRun(kAccounts[account], takes, lasts);
+    service.usage_->CountStart(kAccounts[account]);
+    service.runs_.push_back({ account, takes, true, lasts });
     CheckStart(account);
+  } else if (service.usage_->CouldBeNext(kAccounts[account], takes)) {
+    service.usage_->SetNext(kAccounts[account], takes);
   }
 }
 
@@ -132,7 +139,8 @@
   auto run = service.runs_.begin() +
              static_cast<std::ptrdiff_t>(aPick / 4 % service.runs_.size());
   if (run->known_) {
-    service.usage_->RemoveRun(kAccounts[run->account_], run->takes_);
+    service.usage_->RemoveRun(
+      kAccounts[run->account_], run->takes_, run->lasts_);
   }
   if (mutant_ == CapMutant::RunsForgotten && aPick % 16 == 0) {
     run->known_ = false;
@@ -318,7 +326,7 @@
   Service& service = services_[aPick % kServices];
   for (Run& run : service.runs_) {
     if (!run.known_ && mutant_ != CapMutant::RunsForgotten) {
-      service.usage_->AddRun(kAccounts[run.account_], run.takes_);
+      service.usage_->AddRun(kAccounts[run.account_], run.takes_, run.lasts_);
       run.known_ = true;
     }
   }
@@ -422,7 +430,7 @@
   std::int64_t used = 0;
   Resources task{ cap / 1000, 0, 0 };
   while (services_[0].usage_->MayStart(kAccounts[0], task)) {
-    services_[0].usage_->AddRun(kAccounts[0], task);
+    services_[0].usage_->AddRun(kAccounts[0], task, false);
     used += task.cpu_;
   }
   return used * kWholeCap / cap;
--- a/unittests/Accounts/CapWorld.h
+++ b/unittests/Accounts/CapWorld.h
@@ -74,7 +74,8 @@
   {
     std::size_t account_ = 0;
     Resources takes_;
-    bool known_ = true; ///< to the service's current leader
+    bool known_ = true;  ///< to the service's current leader
+    bool lasts_ = false; ///< does not end by itself
   };
   struct Service
   {
