advice: few questions at a time, and no answer is discarded

Cause: the service answers the calls of one VM in turn, also those whose caller has left. A call was sent for each waiting step at once, each was given up after 3 s, and asked again behind those that had been given up. The line of calls never became shorter, and each answer was for a call nobody waited for.

Fix: the questions of a process pass through one queue with two calls awaited at a time. A late answer is used; lateness only lets another call be sent, after a silence that doubles, and a call is lost once a later one was answered. Refused and failed calls are followed by a growing pause for all. What nobody needs any more is not sent. Each leader has two questions in the queue: the most urgent new one, and the repeat that waited longest, so neither kind can starve the other. While several steps wait, questions name fewer targets.

--- a/include/coltsfootshed/Node/JobsNode.h
+++ b/include/coltsfootshed/Node/JobsNode.h
@@ -11,6 +11,7 @@
 #include "coltsfootshed/Node/StoreOutageDetector.h"
 #include "coltsfootshed/Node/StoreTimeouts.h"
 #include "coltsfootshed/Node/TargetRegistry.h"
+#include "coltsfootshed/Targets/AdviceQueue.h"
 
 namespace coltsfootshed {
 
@@ -24,7 +25,7 @@
     const Clock& wallClock_;
     KeyValueStore& store_;
     TargetCalls& targets_;
-    AdviceCalls* advice_ = nullptr; ///< null: not configured
+    AdviceQueue* advice_ = nullptr; ///< null: not configured
     VmCalls* vms_ = nullptr;        ///< null: VMs are not managed
   };
 
--- a/include/coltsfootshed/Node/ServiceLeader.h
+++ b/include/coltsfootshed/Node/ServiceLeader.h
@@ -8,6 +8,7 @@
 #include "coltsfootshed/Scheduling/Scheduler.h"
 #include "coltsfootshed/Store/PrefixFollower.h"
 #include "coltsfootshed/Support/AliveGuard.h"
+#include "coltsfootshed/Targets/AdviceQueue.h"
 
 namespace coltsfootshed {
 
@@ -24,7 +25,7 @@
     const Clock& wallClock_;
     KeyValueStore& store_;
     TargetCalls& targets_;
-    AdviceCalls* advice_ = nullptr; ///< null: not configured
+    AdviceQueue* advice_ = nullptr; ///< null: not configured
     /// Returns how certain it is, now, that this leader has not been replaced.
     std::function<Authority()> authority_;
     /// Returns whether all leaders before one that began at the given time knew
--- a/include/coltsfootshed/Scheduling/Scheduler.h
+++ b/include/coltsfootshed/Scheduling/Scheduler.h
@@ -214,9 +214,15 @@
   void OnPace(const std::string& aTarget,
               const RunKey& aRun,
               const OrderAnswer& aAnswer);
+  /// aWasLate: OnAdviceLate() was called before.
   void OnAdvice(const TaskName& aStep,
                 std::span<const std::string> aAsked,
-                const Advice& aAdvice);
+                const Advice& aAdvice,
+                bool aWasLate);
+  /// Notes that advice takes long. It may be asked for again.
+  void OnAdviceLate(const TaskName& aStep);
+  /// Returns false if the answer to a request for advice is no longer needed.
+  bool WantsAdvice(const TaskName& aStep);
   /// aRevision is that of the saved progress; 0 if the transaction failed.
   void OnSaved(const SaveProgress& aSave, Revision aRevision);
   /// Sets the revision of a job's saved progress after it differed from the
@@ -263,8 +269,17 @@
   {
     std::map<std::string, Ticket> tickets_; ///< by target
     std::set<std::string> asked_; ///< targets not to ask about for now
-    bool inFlight_ = false;
+    bool inFlight_ = false;       ///< and not late
+    bool isRepeat_ = false;       ///< advice on this step was asked for before
     Millis askAgainAt_{ 0 };
+    Millis endedAt_{ 0 }; ///< of the last request; 0: none
+  };
+  /// A step that needs advice in the current decision.
+  struct AdviceWanted
+  {
+    TaskName step_;
+    const StepSpec* spec_ = nullptr;
+    int tasks_ = 0; ///< that have no run
   };
   /// A step with tasks that could start now.
   struct ReadyStep
@@ -374,9 +389,7 @@
   Millis RemainingChain(const Job& aJob, const Occurrence& aOccurrence) const;
   Millis EstimateOf(const StepSpec& aStep) const;
   void PlaceStep(const ReadyStep& aStep, std::vector<SchedulerOrder>& aOrders);
-  void NoteCapped(const ReadyStep& aStep,
-                  int aTasks,
-                  std::vector<SchedulerOrder>& aOrders);
+  void NoteCapped(const ReadyStep& aStep, int aTasks);
   int TasksThatFit(const TargetState& aTarget,
                    const StepSpec& aSpec,
                    const Resources& aNeeds,
@@ -397,8 +410,12 @@
   const Ticket* ValidTicket(const TaskName& aStep,
                             const std::string& aTarget) const;
   void DropAdvice(std::string_view aJob);
-  void AskForAdvice(const ReadyStep& aStep,
-                    std::vector<SchedulerOrder>& aOrders);
+  void WantAdvice(const ReadyStep& aStep);
+  void DecideAdvice(std::vector<SchedulerOrder>& aOrders);
+  void EndRequest(StepAdvice& aAdvice) const;
+  std::vector<AdviceWanted>::iterator NextForAdvice(bool aPrefersRepeat);
+  std::vector<std::string> TargetsToAskAbout(const AdviceWanted& aWanted);
+  std::size_t MostToAskAbout(const AdviceWanted& aWanted) const;
   void StartTask(const ReadyStep& aStep,
                  int aIndex,
                  RunNumber aRun,
@@ -450,6 +467,10 @@
   std::map<std::string, Millis, std::less<>> pendingCancels_;
   std::map<std::string, TargetState, std::less<>> targets_;
   std::map<TaskName, StepAdvice> advice_; ///< by step: a task name with index 0
+  std::vector<AdviceWanted> adviceWanted_; ///< in the order of starts
+  /// Share of the targets asked about for which recent advice had tickets; 0:
+  /// not known.
+  double grantedShare_ = 0;
   ImageEstimates estimates_;
   ArrivalRate arrivals_;
   CapUsage caps_;
--- a/include/coltsfootshed/Support/AliveGuard.h
+++ b/include/coltsfootshed/Support/AliveGuard.h
@@ -25,6 +25,17 @@
     };
   }
 
+  /// Returns a function without arguments that returns false once this guard is
+  /// destroyed, and what aFunction returns before.
+  template<typename F>
+  auto OrFalse(F aFunction) const
+  {
+    return
+      [alive = std::weak_ptr<bool>(alive_), function = std::move(aFunction)] {
+        return !alive.expired() && function();
+      };
+  }
+
 private:
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/lib/Node/ServiceLeader.cpp
+++ b/lib/Node/ServiceLeader.cpp
@@ -546,13 +546,19 @@
     LogStateChange("advice-missing", { { "step", aAsk.step_.StepText() } });
     return;
   }
-  dependencies_.advice_->Ask(aAsk.step_.StepText(),
-                             aAsk.targets_,
-                             guard_([this, aAsk](const Advice& aAdvice) {
-                               scheduler_.OnAdvice(
-                                 aAsk.step_, aAsk.targets_, aAdvice);
-                               ScheduleDecision();
-                             }));
+  dependencies_.advice_->Ask(
+    { aAsk.step_.StepText(),
+      aAsk.targets_,
+      guard_.OrFalse(
+        [this, step = aAsk.step_] { return scheduler_.WantsAdvice(step); }),
+      guard_([this, step = aAsk.step_] {
+        scheduler_.OnAdviceLate(step);
+        ScheduleDecision();
+      }),
+      guard_([this, aAsk](const Advice& aAdvice, bool aWasLate) {
+        scheduler_.OnAdvice(aAsk.step_, aAsk.targets_, aAdvice, aWasLate);
+        ScheduleDecision();
+      }) });
 }
 
 /// Returns whether a transaction failed because another leader has replaced
--- a/lib/Scheduling/SchedulerPlacement.cpp
+++ b/lib/Scheduling/SchedulerPlacement.cpp
@@ -3,7 +3,9 @@
 #include "coltsfootshed/Scheduling/Scheduler.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
+#include <tuple>
 
 namespace coltsfootshed {
 
@@ -19,6 +21,16 @@
 /// Maximum number of targets in one request for advice. A job's completion
 /// objective allows for one advice call per this many targets in each step.
 static constexpr std::size_t kMaxTargetsPerAdvice = 30;
+/// Minimum number of targets in one request for advice, if there are as many.
+static constexpr std::size_t kMinTargetsPerAdvice = 4;
+/// Tickets that a request should bring for each task while other steps wait for
+/// advice: a target with a ticket may have no room.
+static constexpr double kTicketsPerTask = 2;
+/// Weight of an answer in the share of targets for which tickets are given.
+static constexpr double kNewAdviceWeight = 0.2;
+static constexpr double kMinGrantedShare = 0.05;
+/// Requests for advice that may be in flight.
+static constexpr int kMaxAdviceInFlight = 2;
 /// Pause before advice on a step is requested again, for instance after a
 /// request without a usable answer or when a ticket has expired.
 static constexpr Millis kAdvicePause{ 250 };
@@ -245,6 +257,7 @@
   // Due times, overdue runs and expired pauses cause no event.
   WakeBy(clock_.Now() + Millis(200));
   unfit_.clear();
+  adviceWanted_.clear();
   std::vector<ReadyStep> ready = ReadySteps();
   auto isSameUrgency = [](const ReadyStep& aLeft, const ReadyStep& aRight) {
     return aLeft.rank_.deadlineClass_ == aRight.rank_.deadlineClass_ &&
@@ -262,6 +275,7 @@
     }
     first = last;
   }
+  DecideAdvice(aOrders);
 }
 
 void Scheduler::Place(const ReadyStep& aStep,
@@ -428,9 +442,7 @@
 /// task of the step or all of them. If the unit could start otherwise, it is
 /// the account's next: what cannot be placed must not keep other work from
 /// starting.
-void Scheduler::NoteCapped(const ReadyStep& aStep,
-                           int aTasks,
-                           std::vector<SchedulerOrder>& aOrders)
+void Scheduler::NoteCapped(const ReadyStep& aStep, int aTasks)
 {
   const JobRecord& record = aStep.job_->Record();
   const StepSpec& spec =
@@ -457,7 +469,7 @@
   }
   caps_.SetNext(record.account_, unit);
   if (record.needsTickets_) {
-    AskForAdvice(aStep, aOrders);
+    WantAdvice(aStep);
   }
 }
 
@@ -580,21 +592,49 @@
   return best;
 }
 
-/// Asks for tickets on targets that might run the step and about which the
-/// advice service has not answered, unless a request is in flight or was
-/// answered less than kAdvicePause ago.
-void Scheduler::AskForAdvice(const ReadyStep& aStep,
-                             std::vector<SchedulerOrder>& aOrders)
+static bool HasNoRun(const TaskProgress& aTask)
+{
+  return !aTask.done_ && aTask.liveRuns_.empty();
+}
+
+/// Notes that a step needs tickets, unless a request is in flight or ended less
+/// than kAdvicePause ago.
+void Scheduler::WantAdvice(const ReadyStep& aStep)
 {
   const JobRecord& record = aStep.job_->Record();
-  const StepSpec& spec =
-    record.spec_.steps_[static_cast<std::size_t>(aStep.step_)];
+  auto number = static_cast<std::size_t>(aStep.step_);
   TaskName name{ record.id_, aStep.occurrence_->number_, aStep.step_, 0 };
-  StepAdvice& advice = advice_[name];
-  Millis now = clock_.Now();
-  if (advice.inFlight_ || now < advice.askAgainAt_) {
+  const StepAdvice& advice = advice_[name];
+  if (advice.inFlight_ || clock_.Now() < advice.askAgainAt_) {
     return;
   }
+  const StepProgress& step = aStep.occurrence_->steps_[number];
+  auto tasks = std::count_if(step.tasks_.begin(), step.tasks_.end(), HasNoRun);
+  adviceWanted_.push_back(
+    { name, &record.spec_.steps_[number], static_cast<int>(tasks) });
+}
+
+/// Returns about how many targets to ask at most. The time that the service
+/// takes grows with them, so that fewer are named while other steps wait.
+std::size_t Scheduler::MostToAskAbout(const AdviceWanted& aWanted) const
+{
+  if (adviceWanted_.size() < 2 || grantedShare_ == 0) {
+    return kMaxTargetsPerAdvice;
+  }
+  double enough = kTicketsPerTask * aWanted.tasks_ / grantedShare_;
+  return std::clamp(static_cast<std::size_t>(std::ceil(enough)),
+                    kMinTargetsPerAdvice,
+                    kMaxTargetsPerAdvice);
+}
+
+/// Returns targets that might run a step and about which the advice service has
+/// not answered: those with room for a task first, of these the ones in the
+/// rack of its data.
+std::vector<std::string> Scheduler::TargetsToAskAbout(
+  const AdviceWanted& aWanted)
+{
+  StepAdvice& advice = advice_[aWanted.step_];
+  Millis now = clock_.Now();
   std::erase_if(advice.tickets_, [&](const auto& aEntry) {
     bool expired = aEntry.second.validUntil_ <= now + kTicketMargin;
     if (expired) {
@@ -602,47 +642,144 @@
     }
     return expired;
   });
-  AskAdvice ask{ name, {} };
+  const StepSpec& spec = *aWanted.spec_;
+  std::vector<std::tuple<bool, bool, std::string>> found;
   for (const auto& [id, target] : targets_) {
     bool useful = MayStartOn(target) && advice.asked_.count(id) == 0 &&
                   (spec.label_.empty() || target.HasLabel(spec.label_));
-    if (useful && ask.targets_.size() < kMaxTargetsPerAdvice) {
-      ask.targets_.push_back(id);
+    if (useful) {
+      found.emplace_back(!spec.taskResources_.FitsInto(target.Free()),
+                         target.Rack() != spec.dataRack_,
+                         id);
     }
   }
-  if (ask.targets_.empty()) {
-    return;
+  std::sort(found.begin(), found.end());
+  found.resize(std::min(found.size(), MostToAskAbout(aWanted)));
+  std::vector<std::string> targets;
+  for (auto& [lacksRoom, isFar, id] : found) {
+    targets.push_back(std::move(id));
+  }
+  return targets;
+}
+
+/// Returns the step to ask about next: the first one about which nothing was
+/// asked yet, or, of the others, the one whose last request is longest ago.
+std::vector<Scheduler::AdviceWanted>::iterator Scheduler::NextForAdvice(
+  bool aPrefersRepeat)
+{
+  auto endedAt = [&](const AdviceWanted& aWanted) {
+    return advice_[aWanted.step_].endedAt_;
+  };
+  auto first = adviceWanted_.end();
+  auto repeat = adviceWanted_.end();
+  for (auto at = adviceWanted_.begin(); at != adviceWanted_.end(); ++at) {
+    bool isFirst = endedAt(*at) == Millis(0);
+    if (isFirst && first == adviceWanted_.end()) {
+      first = at;
+    }
+    if (!isFirst &&
+        (repeat == adviceWanted_.end() || endedAt(*at) < endedAt(*repeat))) {
+      repeat = at;
+    }
+  }
+  bool takesRepeat = repeat != adviceWanted_.end() &&
+                     (aPrefersRepeat || first == adviceWanted_.end());
+  return takesRepeat ? repeat : first;
+}
+
+/// Asks for advice on few steps at a time, as the service answers in turn. One
+/// of the requests is for a step that was asked about before, if there is one:
+/// steps that keep failing to start can neither hold up the others nor be held
+/// up by them.
+void Scheduler::DecideAdvice(std::vector<SchedulerOrder>& aOrders)
+{
+  int inFlight = 0;
+  bool hasRepeat = false;
+  for (const auto& [step, advice] : advice_) {
+    inFlight += advice.inFlight_ ? 1 : 0;
+    hasRepeat |= advice.inFlight_ && advice.isRepeat_;
+  }
+  while (inFlight < kMaxAdviceInFlight && !adviceWanted_.empty()) {
+    auto next = NextForAdvice(!hasRepeat);
+    AskAdvice ask{ next->step_, TargetsToAskAbout(*next) };
+    adviceWanted_.erase(next);
+    if (ask.targets_.empty()) {
+      continue;
+    }
+    StepAdvice& advice = advice_[ask.step_];
+    advice.inFlight_ = true;
+    advice.isRepeat_ = advice.endedAt_ > Millis(0);
+    hasRepeat |= advice.isRepeat_;
+    ++inFlight;
+    aOrders.emplace_back(std::move(ask));
   }
-  advice.inFlight_ = true;
-  aOrders.emplace_back(std::move(ask));
 }
 
 void Scheduler::OnAdvice(const TaskName& aStep,
                          std::span<const std::string> aAsked,
-                         const Advice& aAdvice)
+                         const Advice& aAdvice,
+                         bool aWasLate)
 {
   auto asked = advice_.find(aStep);
   if (asked == advice_.end()) {
     return; // the job has ended
   }
   StepAdvice& advice = asked->second;
-  advice.inFlight_ = false;
   Millis now = clock_.Now();
   LogDecision("advice",
               { { "step", aStep.StepText() },
                 { "asked", std::to_string(aAsked.size()) },
                 { "answered", aAdvice.answered_ ? "1" : "0" },
+                { "late", aWasLate ? "1" : "0" },
                 { "granted", std::to_string(aAdvice.granted_.size()) } });
-  advice.askAgainAt_ = now + kAdvicePause;
+  if (!aWasLate) {
+    EndRequest(advice);
+  }
   if (!aAdvice.answered_) {
     return;
   }
   advice.asked_.insert(aAsked.begin(), aAsked.end());
+  if (!aAsked.empty()) {
+    double share = static_cast<double>(aAdvice.granted_.size()) /
+                   static_cast<double>(aAsked.size());
+    double weight = grantedShare_ == 0 ? 1 : kNewAdviceWeight;
+    grantedShare_ =
+      std::max(kMinGrantedShare, weight * share + (1 - weight) * grantedShare_);
+  }
   for (const auto& [target, ticket] : aAdvice.granted_) {
     advice.tickets_[target] = { ticket, now + aAdvice.validFor_ };
   }
 }
 
+void Scheduler::OnAdviceLate(const TaskName& aStep)
+{
+  if (auto asked = advice_.find(aStep); asked != advice_.end()) {
+    EndRequest(asked->second);
+  }
+}
+
+void Scheduler::EndRequest(StepAdvice& aAdvice) const
+{
+  aAdvice.inFlight_ = false;
+  aAdvice.endedAt_ = clock_.Now();
+  aAdvice.askAgainAt_ = clock_.Now() + kAdvicePause;
+}
+
+bool Scheduler::WantsAdvice(const TaskName& aStep)
+{
+  Job* job = FindJob(aStep.job_);
+  if (job == nullptr || job->IsEnded() || advice_.count(aStep) == 0) {
+    return false;
+  }
+  auto occurrence = job->Occurrences().find(aStep.occurrence_);
+  if (occurrence == job->Occurrences().end()) {
+    return false;
+  }
+  const StepProgress& step =
+    occurrence->second.steps_.at(static_cast<std::size_t>(aStep.step_));
+  return std::any_of(step.tasks_.begin(), step.tasks_.end(), HasNoRun);
+}
+
 /// Starts as many tasks of a step as there is room for.
 void Scheduler::PlaceStep(const ReadyStep& aStep,
                           std::vector<SchedulerOrder>& aOrders)
@@ -663,13 +800,13 @@
       continue;
     }
     if (!caps_.MayStart(record.account_, spec.taskResources_)) {
-      NoteCapped(aStep, 1, aOrders);
+      NoteCapped(aStep, 1);
       return;
     }
     TargetState* target = ChooseTarget(aStep, step.tasks_[i], siblingTargets);
     if (target == nullptr) {
       if (record.needsTickets_) {
-        AskForAdvice(aStep, aOrders);
+        WantAdvice(aStep);
       }
       return;
     }
@@ -699,7 +836,7 @@
   // cap is of no use to them.
   if (!caps_.MayStart(record.account_,
                       Times(spec.taskResources_, spec.tasks_))) {
-    NoteCapped(aStep, spec.tasks_, aOrders);
+    NoteCapped(aStep, spec.tasks_);
     return;
   }
   // Members are placed one by one; all are taken back if one finds no room.
@@ -717,7 +854,7 @@
       }
       unfit_.clear();
       if (record.needsTickets_) {
-        AskForAdvice(aStep, aOrders);
+        WantAdvice(aStep);
       }
       return;
     }
--- a/unittests/Scheduling/SchedulerTest.cpp
+++ b/unittests/Scheduling/SchedulerTest.cpp
@@ -544,7 +544,7 @@
     advice.answered_ = true;
     advice.validFor_ = Millis(3000);
     advice.granted_ = { { "t2", "ticket-2" } };
-    scheduler_->OnAdvice(asks[0].step_, asks[0].targets_, advice);
+    scheduler_->OnAdvice(asks[0].step_, asks[0].targets_, advice, false);
     auto starts = OrdersOf<TargetStart>(Step());
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), starts.size());
     CPPUNIT_ASSERT_EQUAL(std::string("t2"), starts[0].target_);
