caps: a turn outlasts the time without reports after a write

A manager takes no report for fresh that follows an earlier table, so that after each write there is none for one round. A turn ended there if some leaders had reported and the one whose turn it was had not. It now ends after a second without a report. CapTurnsLagTest plays the loads of CapTurnsTest with leaders whose reports lag behind by one decision; it passed before as well, as the order of turns brings the service back.

--- a/include/coltsfootshed/Accounts/CapDivider.h
+++ b/include/coltsfootshed/Accounts/CapDivider.h
@@ -86,7 +86,8 @@
   struct Turn
   {
     std::string service_;
-    CapShare needed_ = 0; ///< see AccountUse
+    CapShare needed_ = 0;    ///< see AccountUse
+    Millis reportedAt_{ 0 }; ///< last report of the service
     /// AccountUse::starts_ when the service was first seen to have the share.
     std::optional<std::uint64_t> startsAtGrant_;
     /// When the unit could first have started.
--- a/lib/Accounts/CapDivider.cpp
+++ b/lib/Accounts/CapDivider.cpp
@@ -20,6 +20,8 @@
 /// How long a service keeps its turn without starting the unit, from when it
 /// could: it may not find room for it after all.
 static constexpr Millis kMaxUnusedTurn{ 1000 };
+/// How long it keeps its turn without a report.
+static constexpr Millis kMaxSilentTurn{ 1000 };
 /// Most by which a sum of shares that were rounded down is less than the share
 /// of the sum.
 static constexpr CapShare kRounding = 2;
@@ -238,9 +240,15 @@
       std::find_if(aParts.begin(), aParts.end(), [&](const Part& aPart) {
         return aPart.service_ == turn.service_;
       });
-    // A service that has lost its leader keeps its place.
-    bool hasLeader = part != aParts.end() && part->use_ != nullptr;
-    if (hasLeader && !HasTurnEnded(aParts, *part, turn)) {
+    // After each write there are no reports under the new table for a while. A
+    // service that has lost its leader keeps its place.
+    bool reports = part != aParts.end() && part->use_ != nullptr;
+    if (reports) {
+      turn.reportedAt_ = clock_.Now();
+    }
+    bool mayReport =
+      part != aParts.end() && clock_.Now() - turn.reportedAt_ <= kMaxSilentTurn;
+    if (reports ? !HasTurnEnded(aParts, *part, turn) : mayReport) {
       return &*part;
     }
     bool hadShare = turn.startsAtGrant_.has_value();
@@ -271,8 +279,7 @@
   if (next == nullptr) {
     return nullptr;
   }
-  turns.current_ =
-    Turn{ next->service_, next->Needed(), std::nullopt, std::nullopt };
+  turns.current_ = Turn{ next->service_, next->Needed(), clock_.Now() };
   LogDecision("cap-turn",
               { { "account", aAccount },
                 { "service", next->service_ },
--- a/unittests/Accounts/CapTurnsTest.cpp
+++ b/unittests/Accounts/CapTurnsTest.cpp
@@ -315,6 +315,20 @@
     CPPUNIT_ASSERT(cap.gpu_ == 0 || running.gpu_ <= cap.gpu_);
   }
 
+  void Exchange(Service& aService)
+  {
+    aService.usage_->Apply(managerFence_, divider_->OrderFor(aService.name_));
+    if (!reportsFirst_) {
+      Work(aService);
+    }
+    CapReport report = aService.usage_->Report(Waiting(aService));
+    report.leader_ = aService.leader_;
+    divider_->SetReport(aService.name_, report);
+    if (reportsFirst_) {
+      Work(aService);
+    }
+  }
+
   void Round()
   {
     if (divider_->NeedsTable()) {
@@ -322,11 +336,7 @@
                           tableRevision_);
     }
     for (Service& service : services_) {
-      service.usage_->Apply(managerFence_, divider_->OrderFor(service.name_));
-      Work(service);
-      CapReport report = service.usage_->Report(Waiting(service));
-      report.leader_ = service.leader_;
-      divider_->SetReport(service.name_, report);
+      Exchange(service);
     }
     if (auto write = divider_->Decide()) {
       table_ = write->table_;
@@ -374,6 +384,10 @@
     }
   }
 
+protected:
+  bool reportsFirst_ = false; ///< leaders report what they decided before
+
+private:
   ManualClock clock_;
   std::vector<AccountConfig> accounts_;
   std::vector<Service> services_;
@@ -384,6 +398,17 @@
   Revision revision_ = 100;
 };
 
+/// The same with leaders whose reports lag behind an order by one decision.
+class CapTurnsLagTest : public CapTurnsTest
+{
+  CPPUNIT_TEST_SUB_SUITE(CapTurnsLagTest, CapTurnsTest);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override { reportsFirst_ = true; }
+};
+
 CPPUNIT_TEST_SUITE_REGISTRATION(CapTurnsTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(CapTurnsLagTest);
 
 } // namespace coltsfootshed
