--- a/scripts/check.py
+++ b/scripts/check.py
@@ -89,6 +89,9 @@
         for suite in re.findall(r"CPPUNIT_TEST_SUITE\((\w+)\)", text):
             suites[f"coltsfootshed::{suite}"] = re.findall(
                 r"CPPUNIT_TEST\((\w+)\)", text)
+        for suite, base in re.findall(
+                r"CPPUNIT_TEST_SUB_SUITE\((\w+),\s*(\w+)\)", text):
+            suites[f"coltsfootshed::{suite}"] = suites[f"coltsfootshed::{base}"]
     return suites
 
 
