caps: runs of a leader of an earlier version may last

During an upgrade, reports of earlier versions do not say which of their runs do not end by themselves. They were read as if all ended, so that a turn could wait for a lasting run for as long as its leader was not upgraded, and the other services of the account with it. Now all that such a leader uses counts as lasting. CapFuzzTest::SharesOfEarlierVersionsAreRead fails without the change.

--- a/lib/Accounts/CapShares.cpp
+++ b/lib/Accounts/CapShares.cpp
@@ -149,7 +149,9 @@
                      : IntegerOf(row.at(aColumn), kSmallCount) * kCoarseUnit;
     };
     AccountUse use{ row.at(0), share(1), share(2), share(3) };
-    constexpr std::size_t kUnitColumns = 7; ///< absent in earlier versions
+    // Earlier versions do not say which runs last, so that any may.
+    use.lasting_ = use.used_;
+    constexpr std::size_t kUnitColumns = 7;
     if (row.size() > kUnitColumns) {
       use.lasting_ = IntegerOf(row.at(kUnitColumns), kAnyShare);
       use.needed_ = IntegerOf(row.at(kUnitColumns + 1), kAnyShare);
--- a/unittests/Accounts/CapFuzzTest.cpp
+++ b/unittests/Accounts/CapFuzzTest.cpp
@@ -196,6 +196,7 @@
     CPPUNIT_ASSERT_EQUAL(kWholeCap / 4, report.accounts_.at(0).limit_);
     CPPUNIT_ASSERT_EQUAL(kWholeCap / 10000, report.accounts_.at(0).used_);
     CPPUNIT_ASSERT_EQUAL(CapShare(0), report.accounts_.at(0).needed_);
+    CPPUNIT_ASSERT_EQUAL(kWholeCap / 10000, report.accounts_.at(0).lasting_);
   }
 
 private:
