comments and names of a test say what they mean

Read as a newcomer: the time from which an advice call counts as late, why a pace that was not sent is taken back, which caps the tests of turns set, and the state of the advice service in AdviceQueueTest. No code outside tests changes; in tests two names do.

--- a/include/coltsfootshed/Targets/AdviceQueue.h
+++ b/include/coltsfootshed/Targets/AdviceQueue.h
@@ -67,8 +67,8 @@
   std::deque<Question> waiting_;
   std::map<std::uint64_t, Call> inFlight_; ///< by number, in order of sending
   std::uint64_t lastCall_ = 0;
-  /// When the last answer came or, if nothing was awaited then, the first call
-  /// after it was sent.
+  /// When the last answer came, or when a call was sent while none was awaited,
+  /// whichever is later.
   Millis progressAt_{ 0 };
   Millis patience_; ///< time without progress after which a call is late
   Millis pause_;    ///< after the next failure
--- a/lib/Scheduling/SchedulerOrders.cpp
+++ b/lib/Scheduling/SchedulerOrders.cpp
@@ -459,6 +459,7 @@
   if (RunState* run = target.FindRun(aRun)) {
     run->orderInFlight_ = false;
     if (aAnswer.end_ == OrderEnd::NotSent) {
+      // The target still works at the former pace.
       run->pace_ = run->paceBefore_;
       run->pacedAt_ = Millis(0);
     } else if (aAnswer.end_ != OrderEnd::Done) {
--- a/unittests/Accounts/CapTurnsTest.cpp
+++ b/unittests/Accounts/CapTurnsTest.cpp
@@ -307,8 +307,7 @@
         running += run.unit_.takes_;
       }
     }
-    // After a cap was lowered, what runs may exceed it; this test lowers it by
-    // less than the largest unit.
+    // No test lowers the cap below what may be running then.
     Resources cap = accounts_[0].cap_;
     CPPUNIT_ASSERT(cap.cpu_ == 0 || running.cpu_ <= cap.cpu_);
     CPPUNIT_ASSERT(cap.memory_ == 0 || running.memory_ <= cap.memory_);
--- a/unittests/Targets/AdviceQueueTest.cpp
+++ b/unittests/Targets/AdviceQueueTest.cpp
@@ -39,15 +39,15 @@
       return;
     }
     if (!line_.front().isRefused_) {
-      if (now_ == Millis(0)) {
-        now_ = clock_.Now() + takes_;
+      if (frontEndsAt_ == Millis(0)) {
+        frontEndsAt_ = clock_.Now() + takes_;
       }
-      if (clock_.Now() < std::max(now_, standsStillUntil_)) {
+      if (clock_.Now() < std::max(frontEndsAt_, standsStillUntil_)) {
         return;
       }
     }
-    now_ = Millis(0);
-    Line call = std::move(line_.front());
+    frontEndsAt_ = Millis(0);
+    WaitingCall call = std::move(line_.front());
     line_.pop_front();
     Advice advice;
     advice.answered_ = !call.isRefused_;
@@ -62,15 +62,16 @@
   std::size_t most_ = 0; ///< calls that it had at once
 
 private:
-  struct Line
+  struct WaitingCall
   {
     std::function<void(Advice)> onEnd_;
     bool isRefused_ = false;
   };
 
   const Clock& clock_;
-  std::deque<Line> line_;
-  Millis now_{ 0 }; ///< end of the call at the front; 0: not begun
+  std::deque<WaitingCall> line_;
+  /// When the call at the front of the line is handled; 0: not begun.
+  Millis frontEndsAt_{ 0 };
 };
 
 class AdviceQueueTest : public CppUnit::TestFixture
