pool reports: what part of the work can be in time

The log lines of pools could not tell a pool that lacks VMs for work which can still be in time from one that keeps them for late work. Leaders now report that part of their running and waiting work; the pool line shows it as in_time_cpu. Reports of earlier versions count all work as in time. SchedulerTest::LateWorkIsNotReportedAsInTime and PoolReportTest check it.

--- a/include/coltsfootshed/Pools/PoolPlanner.h
+++ b/include/coltsfootshed/Pools/PoolPlanner.h
@@ -41,6 +41,9 @@
   Resources used_;        ///< by runs
   Resources longRunning_; ///< part of used_, by long-running runs
   Resources waiting_;     ///< needed by tasks that could start now
+  /// Part of used_ and waiting_ that belongs to jobs which can be in time,
+  /// without longRunning_.
+  Resources inTime_;
   /// Part of used_ and waiting_ that only targets with a label can run.
   std::map<std::string, Resources> byLabel_;
   /// Part of waiting_ that runs fastest on a certain rack, by rack.
--- a/lib/Pools/PoolPlanner.cpp
+++ b/lib/Pools/PoolPlanner.cpp
@@ -296,6 +296,7 @@
       { "used_cpu", std::to_string(content.used_.cpu_) },
       { "waiting_cpu", std::to_string(content.waiting_.cpu_) },
       { "waiting_mib", std::to_string(content.waiting_.memory_) },
+      { "in_time_cpu", std::to_string(content.inTime_.cpu_) },
       { "arriving_cpu",
         std::to_string(static_cast<int>(content.arrivingCpu_)) },
       { "labels", DeficitText(content.service_) },
--- a/lib/Pools/PoolReport.cpp
+++ b/lib/Pools/PoolReport.cpp
@@ -40,6 +40,7 @@
     { "used", { aReport.used_.cpu_, aReport.used_.memory_ } },
     { "lasting", { aReport.longRunning_.cpu_, aReport.longRunning_.memory_ } },
     { "waiting", { aReport.waiting_.cpu_, aReport.waiting_.memory_ } },
+    { "in_time", { aReport.inTime_.cpu_, aReport.inTime_.memory_ } },
     { "labels", RowsOf(aReport.byLabel_) },
     { "racks", RowsOf(aReport.byRack_) },
     { "arriving", aReport.arrivingCpu_ },
@@ -73,6 +74,14 @@
     report.used_ = ReadAmounts(aJson.at("used"));
     report.longRunning_ = ReadAmounts(aJson.at("lasting"));
     report.waiting_ = ReadAmounts(aJson.at("waiting"));
+    // Earlier versions leave out what is in time; then all may be.
+    if (auto inTime = aJson.find("in_time"); inTime != aJson.end()) {
+      report.inTime_ = ReadAmounts(*inTime);
+    } else {
+      report.inTime_ = report.used_;
+      report.inTime_ -= report.longRunning_;
+      report.inTime_ += report.waiting_;
+    }
     report.byLabel_ = ReadRows(aJson.at("labels"));
     report.byRack_ = ReadRows(aJson.at("racks"));
     report.arrivingCpu_ = aJson.at("arriving");
--- a/lib/Scheduling/Scheduler.cpp
+++ b/lib/Scheduling/Scheduler.cpp
@@ -342,14 +342,17 @@
 }
 
 /// Adds to aReport and aByAccount what the tasks of a job need that could start
-/// now and have no run.
+/// now and have no run, and to the report also what its runs use if it can be
+/// in time.
 void Scheduler::AddWaiting(const Job& aJob,
                            PoolReport& aReport,
                            ByAccount& aByAccount) const
 {
   const std::string& account = aJob.Record().account_;
   for (const auto& [number, occurrence] : aJob.Occurrences()) {
-    double share = CapacityShareOf(RankOf(aJob, occurrence).deadlineClass_);
+    DeadlineClass deadlineClass = RankOf(aJob, occurrence).deadlineClass_;
+    double share = CapacityShareOf(deadlineClass);
+    bool isInTime = deadlineClass < DeadlineClass::Late;
     for (std::size_t i = 0; i < occurrence.steps_.size(); ++i) {
       const StepSpec& spec = aJob.Record().spec_.steps_[i];
       const StepProgress& step = occurrence.steps_[i];
@@ -364,10 +367,18 @@
       Resources needs = Scaled(spec.taskResources_, share);
       needs.cpu_ = spec.bestEffort_ ? 0 : needs.cpu_;
       for (const TaskProgress& task : step.tasks_) {
+        if (isInTime && !spec.longRunning_) {
+          for (std::size_t run = 0; run < task.liveRuns_.size(); ++run) {
+            aReport.inTime_ += needs;
+          }
+        }
         if (task.done_ || !task.liveRuns_.empty()) {
           continue;
         }
         aReport.waiting_ += needs;
+        if (isInTime) {
+          aReport.inTime_ += needs;
+        }
         if (!account.empty()) {
           aByAccount[account] += spec.taskResources_;
         }
--- a/unittests/Pools/PoolReportTest.cpp
+++ b/unittests/Pools/PoolReportTest.cpp
@@ -24,6 +24,7 @@
     report.used_ = { 1000, 2000, 0 };
     report.longRunning_ = { 300, 400, 0 };
     report.waiting_ = { 50, 60, 0 };
+    report.inTime_ = { 40, 30, 0 };
     report.byLabel_["a"] = { 7, 8, 0 };
     report.byRack_["r"] = { 9, 10, 0 };
     report.arrivingCpu_ = 11;
@@ -38,6 +39,7 @@
     CPPUNIT_ASSERT(AreEqual(report.used_, decoded->used_));
     CPPUNIT_ASSERT(AreEqual(report.longRunning_, decoded->longRunning_));
     CPPUNIT_ASSERT(AreEqual(report.waiting_, decoded->waiting_));
+    CPPUNIT_ASSERT(AreEqual(report.inTime_, decoded->inTime_));
     CPPUNIT_ASSERT(AreEqual(report.byLabel_["a"], decoded->byLabel_["a"]));
     CPPUNIT_ASSERT(AreEqual(report.byRack_["r"], decoded->byRack_["r"]));
     CPPUNIT_ASSERT_EQUAL(report.arrivingCpu_, decoded->arrivingCpu_);
@@ -54,16 +56,17 @@
     }
   }
 
-  /// They do not say whether the roster names a target.
+  /// They do not say whether the roster names a target, nor what is in time.
   void ReportsOfEarlierVersionsAreDecoded()
   {
     auto report = DecodeReport(
-      R"({"service":"s","used":[1,2],"lasting":[0,0],"waiting":[0,0],
+      R"({"service":"s","used":[9,8],"lasting":[4,3],"waiting":[2,1],
           "labels":[],"racks":[],"arriving":0,"least":0,
           "targets":[["t",1,0,true]]})");
     CPPUNIT_ASSERT(report.has_value());
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), report->targets_.size());
     CPPUNIT_ASSERT(!report->targets_[0].inRoster_);
+    CPPUNIT_ASSERT(AreEqual({ 7, 6, 0 }, report->inTime_));
   }
 
 private:
--- a/unittests/Scheduling/SchedulerTest.cpp
+++ b/unittests/Scheduling/SchedulerTest.cpp
@@ -45,6 +45,7 @@
   CPPUNIT_TEST(ALateLeaderBlamesNoTarget);
   CPPUNIT_TEST(ALateLeaderSendsFewerStarts);
   CPPUNIT_TEST(ARiseOfArrivalsIsReportedAtOnce);
+  CPPUNIT_TEST(LateWorkIsNotReportedAsInTime);
   CPPUNIT_TEST(ALostStartIsDetectedByAProbe);
   CPPUNIT_TEST(AnOutdatedHoldAnswerIsIgnored);
   CPPUNIT_TEST(ChangesAreSavedByAge);
@@ -722,6 +723,21 @@
     CPPUNIT_ASSERT(scheduler_->Report().arrivingCpu_ <= kCpuPerJob);
   }
 
+  void LateWorkIsNotReportedAsInTime()
+  {
+    TargetStart start = StartBesideHold();
+    const Resources& runs =
+      scheduler_->Targets().at(start.target_).runs_.rbegin()->second.takes_;
+    scheduler_->AddJob(WideJob("00000000000000d0", 8, Millis(9000)),
+                       kFence + 1);
+    CPPUNIT_ASSERT_EQUAL(runs.cpu_ + 8 * 1000,
+                         scheduler_->Report().inTime_.cpu_);
+    clock_.Advance(Millis(60000));
+    PoolReport late = scheduler_->Report();
+    CPPUNIT_ASSERT(late.used_.cpu_ > 0 && late.waiting_.cpu_ > 0);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(0), late.inTime_.cpu_);
+  }
+
   /// Without probes, a hold that waits reports the missing run up to 700 ms
   /// late, and with lost orders a task waits for two seconds.
   void ALostStartIsDetectedByAProbe()
