pools: a fleet that is too small is divided between the pools

Cause: a pool kept every VM for which it had any work, however late, and spare VMs went to whoever asked first. Nothing compared the needs of pools that together exceed the fleet, so the first backlog starved all later peaks.

Now the planner divides the fleet by purpose (long-running work, work that can be in time, late work, expected work), in equal parts where it runs out.

--- a/include/coltsfootshed/Pools/PoolPlanner.h
+++ b/include/coltsfootshed/Pools/PoolPlanner.h
@@ -4,12 +4,14 @@
 ///
 /// Expects queues whose load peaks in turn at several times its mean. Pools
 /// grow with waiting and arriving work, take VMs from idle pools and the spare
-/// pool, and return idle VMs, since each VM in a pool costs money.
+/// pool, and return idle VMs, since each VM in a pool costs money. A fleet that
+/// is too small for all pools is divided, see FleetDivision.h.
 #ifndef COLTSFOOTSHED_POOLS_POOLPLANNER_H
 #define COLTSFOOTSHED_POOLS_POOLPLANNER_H
 
 #include "coltsfootshed/Accounts/CapShares.h"
 #include "coltsfootshed/Node/JobsConfig.h"
+#include "coltsfootshed/Pools/FleetDivision.h"
 #include "coltsfootshed/Pools/VmCalls.h"
 #include "coltsfootshed/Support/Clock.h"
 
@@ -32,6 +34,8 @@
   bool vacating_ = false; ///< being emptied: takes no starts
   /// The saved roster may name it, so a new leader would wait for its answer.
   bool inRoster_ = false;
+  /// Estimated time until the last of its runs ends, without long-running ones.
+  Millis emptyIn_{ 0 };
 };
 
 /// Load of a service's pool, as the service's scheduler reports it.
@@ -141,8 +145,29 @@
     std::string pool_;      ///< for a move
     std::int64_t wave_ = 0; ///< for maintenance
     Millis since_{ 0 };
-    bool ordered_ = false;   ///< the call is in flight
-    Millis orderAfter_{ 0 }; ///< earliest time of the order
+    bool ordered_ = false;    ///< the call is in flight
+    Millis orderAfter_{ 0 };  ///< earliest time of the order
+    bool isForLabel_ = false; ///< the pool lacks a label that the VM carries
+    Millis timeout_{ 0 }; ///< age at which a move without an order is dropped
+  };
+  /// A pool's VMs against its needs.
+  struct PoolBalance
+  {
+    std::string service_;
+    int serving_ = 0;
+    int needed_ = 0;         ///< VMs that it lacks; negative: surplus
+    int due_ = 0;            ///< VMs that it lacks of its part of the fleet
+    int dueNow_ = 0;         ///< of these, for present work
+    bool isShort_ = false;   ///< has lacked VMs for present work for a while
+    bool hasExcess_ = false; ///< has had more than its part for a while
+
+    /// Counts VMs that are to move to the pool; negative: out of it.
+    void Receive(int aVms)
+    {
+      needed_ -= aVms;
+      due_ -= aVms;
+      dueNow_ -= aVms;
+    }
   };
   struct Wave
   {
@@ -161,7 +186,8 @@
   static double VmsToCarry(double aCpu,
                            double aMemory,
                            const Resources& aVmSize);
-  static int VmsNeeded(const PoolReport& aReport, const Resources& aVmSize);
+  static PoolDemand DemandOf(const PoolReport& aReport,
+                             const Resources& aVmSize);
   std::map<std::string, int> LabelDeficits(const PoolReport& aReport);
   int CountServing(std::string_view aPool, std::string_view aLabel = {}) const;
   bool IsSpare(std::string_view aPool) const { return spare_ == aPool; }
@@ -171,7 +197,15 @@
   int CountInMaintenance(const Wave& aWave) const;
   void DropStalePlans();
   void PlanMoves();
-  void LogPool(const Report& aReport, int aDeficit);
+  std::vector<PoolBalance> BalancePools();
+  void DropUnneededMoves(PoolBalance& aTaker);
+  void PlanSurplusMoves(PoolBalance& aGiver, std::vector<PoolBalance>& aPools);
+  void PlanRebalancing(std::vector<PoolBalance>& aPools);
+  bool HasLasted(std::map<std::string, Millis>& aSince,
+                 const std::string& aService,
+                 bool aHolds,
+                 Millis aTime) const;
+  void LogPool(const PoolBalance& aPool);
   /// A request to move VMs from one pool to another.
   struct Transfer
   {
@@ -196,7 +230,11 @@
   std::map<std::string, Report, std::less<>> reports_;
   std::map<std::string, Plan, std::less<>> plans_; ///< by VM
   std::map<std::int64_t, Wave> waves_;
-  std::map<std::string, Millis> surplusSince_; ///< by service
+  // Since when a pool has had VMs that it does not need, has lacked some for
+  // present work, or has had more than its part of the fleet; by service.
+  std::map<std::string, Millis> surplusSince_;
+  std::map<std::string, Millis> shortSince_;
+  std::map<std::string, Millis> excessSince_;
   /// VMs that a service lacks, by service and label; negative: surplus.
   std::map<std::string, std::map<std::string, int>, std::less<>> labelDeficits_;
   std::map<std::string, Millis> loggedAt_;  ///< by service
--- a/lib/Pools/PoolPlanner.cpp
+++ b/lib/Pools/PoolPlanner.cpp
@@ -15,8 +15,16 @@
 /// How long a pool keeps surplus VMs. Demand may return, and a move costs about
 /// as much as a VM-second.
 static constexpr Millis kSurplusDelay{ 1500 };
-/// A planned move is dropped if its VM is not empty after this time.
+/// How long a pool must lack VMs for present work, and another have more than
+/// its part of the fleet, before VMs that still have work are taken from there.
+static constexpr Millis kImbalanceDelay{ 500 };
+/// A planned move is dropped if its VM is not empty after this time, or after
+/// kDrainTolerance times as long as it was expected to take.
 static constexpr Millis kMoveTimeout{ 4000 };
+static constexpr double kDrainTolerance = 1.5;
+/// VMs that are expected to be empty later than this are not taken out of a
+/// pool.
+static constexpr Millis kMaxDrainTime{ 10000 };
 /// How long a VM is drained for maintenance while its pool lacks one of its
 /// labels. If it is not empty by then, it takes work again for as long.
 static constexpr Millis kScarceVmTimeout{ 2000 };
@@ -128,23 +136,35 @@
     aMemory / static_cast<double>(std::max<std::int64_t>(1, aVmSize.memory_)));
 }
 
-/// Returns how many VMs a pool needs, the reserve included.
-int PoolPlanner::VmsNeeded(const PoolReport& aReport, const Resources& aVmSize)
+/// Returns how many VMs a pool needs, by purpose.
+PoolDemand PoolPlanner::DemandOf(const PoolReport& aReport,
+                                 const Resources& aVmSize)
 {
-  // Long-running runs free no room for new work and need no headroom. Headroom
-  // on expected arrivals would not make them more certain.
-  double present = static_cast<double>(
-    aReport.used_.cpu_ - aReport.longRunning_.cpu_ + aReport.waiting_.cpu_);
-  double cpu = std::max(kHeadroom * present, aReport.arrivingCpu_);
-  double memory =
-    static_cast<double>(aReport.used_.memory_ - aReport.longRunning_.memory_ +
-                        aReport.waiting_.memory_);
-  double vms = VmsToCarry(static_cast<double>(aReport.longRunning_.cpu_) + cpu,
-                          static_cast<double>(aReport.longRunning_.memory_) +
-                            kHeadroom * memory,
-                          aVmSize);
-  return std::max(static_cast<int>(std::ceil(vms)) + kReserveVms,
-                  aReport.minVms_);
+  const Resources& lasting = aReport.longRunning_;
+  // Long-running runs free no room for new work and need no headroom.
+  auto vmsFor = [&](double aCpu, double aMemory) {
+    double vms = VmsToCarry(static_cast<double>(lasting.cpu_) + aCpu,
+                            static_cast<double>(lasting.memory_) + aMemory,
+                            aVmSize);
+    return static_cast<int>(std::ceil(vms));
+  };
+  Resources present = aReport.used_;
+  present -= lasting;
+  present += aReport.waiting_;
+  double inTimeCpu = kHeadroom * static_cast<double>(aReport.inTime_.cpu_);
+  double inTimeMemory =
+    kHeadroom * static_cast<double>(aReport.inTime_.memory_);
+  double cpu = kHeadroom * static_cast<double>(present.cpu_);
+  double memory = kHeadroom * static_cast<double>(present.memory_);
+  PoolDemand demand;
+  demand.lasting_ = std::max(vmsFor(0, 0), aReport.minVms_);
+  demand.inTime_ = std::max(demand.lasting_, vmsFor(inTimeCpu, inTimeMemory));
+  demand.present_ = std::max(demand.inTime_, vmsFor(cpu, memory));
+  // Headroom on expected arrivals would not make them more certain.
+  demand.expected_ =
+    std::max(demand.present_,
+             vmsFor(std::max(cpu, aReport.arrivingCpu_), memory) + kReserveVms);
+  return demand;
 }
 
 /// Counts the VMs that serve a pool or are about to; with a label, only those
@@ -204,7 +224,7 @@
     }
     Millis age = now - plan.since_;
     if (plan.intent_ == Intent::Move) {
-      return age > kMoveTimeout;
+      return age > plan.timeout_;
     }
     const PoolVm* vm = FindVm(name);
     bool isScarce = vm != nullptr && LargestDeficit(*vm) > 0;
@@ -226,8 +246,27 @@
   if (vms_.empty() || spare_.empty()) {
     return;
   }
-  Millis now = clock_.Now();
-  std::map<std::string, int> deficits; ///< VMs by service; below 0: surplus
+  std::vector<PoolBalance> pools = BalancePools();
+  for (auto lacking : { &PoolBalance::dueNow_, &PoolBalance::due_ }) {
+    for (PoolBalance& taker : pools) {
+      taker.Receive(
+        PlanTransfer({ spare_, taker.service_, taker.*lacking, {} }));
+    }
+  }
+  for (PoolBalance& giver : pools) {
+    DropUnneededMoves(giver);
+    PlanSurplusMoves(giver, pools);
+  }
+  PlanRebalancing(pools);
+}
+
+/// Compares the VMs of each pool with what it needs, and with its part of the
+/// fleet. Pools without a fresh report are left out.
+std::vector<PoolPlanner::PoolBalance> PoolPlanner::BalancePools()
+{
+  std::vector<PoolBalance> pools;
+  std::vector<PoolDemand> demands;
+  int vms = CountServing(spare_);
   for (const std::string& service : services_) {
     const Report* report = FreshReport(service);
     if (report == nullptr) {
@@ -235,37 +274,104 @@
     }
     labelDeficits_[service] = LabelDeficits(report->content_);
     PlanLabelMoves(service);
-    deficits[service] =
-      VmsNeeded(report->content_, VmSize(service)) - CountServing(service);
-    LogPool(*report, deficits[service]);
-  }
-  for (auto& [service, count] : deficits) {
-    if (count > 0) {
-      surplusSince_.erase(service);
-      count -= PlanTransfer({ spare_, service, count, {} });
+    demands.push_back(DemandOf(report->content_, VmSize(service)));
+    pools.push_back({ service });
+  }
+  for (PoolBalance& pool : pools) {
+    pool.serving_ = CountServing(pool.service_);
+    vms += pool.serving_;
+  }
+  std::vector<int> parts = DivideFleet(demands, vms);
+  for (std::size_t i = 0; i < pools.size(); ++i) {
+    PoolBalance& pool = pools[i];
+    pool.needed_ = demands[i].expected_ - pool.serving_;
+    pool.due_ = parts[i] - pool.serving_;
+    pool.dueNow_ = std::min(parts[i], demands[i].present_) - pool.serving_;
+    LogPool(pool);
+  }
+  return pools;
+}
+
+/// Drops moves to a pool that no longer needs all VMs which are being emptied
+/// for it, those first that are expected to take longest.
+void PoolPlanner::DropUnneededMoves(PoolBalance& aTaker)
+{
+  std::vector<std::pair<Millis, std::string>> droppable;
+  for (const auto& [name, plan] : plans_) {
+    if (plan.intent_ == Intent::Move && plan.pool_ == aTaker.service_ &&
+        !plan.ordered_ && !plan.isForLabel_) {
+      const TargetUse* use = FindUse(vms_.at(name));
+      droppable.emplace_back(use == nullptr ? Millis(0) : use->emptyIn_, name);
     }
   }
-  for (auto& [service, count] : deficits) {
-    if (count >= 0) {
-      surplusSince_.erase(service);
-      continue;
+  std::sort(droppable.rbegin(), droppable.rend());
+  for (const auto& [emptyIn, name] : droppable) {
+    if (aTaker.needed_ >= 0) {
+      return;
     }
-    // VMs that another pool needs move at once, without the surplus delay.
-    for (auto& [taker, deficit] : deficits) {
-      if (deficit > 0 && count < 0) {
-        int moved =
-          PlanTransfer({ service, taker, std::min(deficit, -count), {} });
-        deficit -= moved;
-        count += moved;
+    plans_.erase(name);
+    aTaker.Receive(-1);
+  }
+}
+
+/// Gives VMs that a pool does not need to pools that lack some, and to the
+/// spare pool what nobody has asked for in kSurplusDelay.
+void PoolPlanner::PlanSurplusMoves(PoolBalance& aGiver,
+                                   std::vector<PoolBalance>& aPools)
+{
+  bool isOld = HasLasted(
+    surplusSince_, aGiver.service_, aGiver.needed_ < 0, kSurplusDelay);
+  for (PoolBalance& taker : aPools) {
+    int most = std::min(taker.due_, -aGiver.needed_);
+    int moved = PlanTransfer({ aGiver.service_, taker.service_, most, {} });
+    taker.Receive(moved);
+    aGiver.Receive(-moved);
+  }
+  if (isOld) {
+    PlanTransfer({ aGiver.service_, spare_, -aGiver.needed_, {} });
+  }
+}
+
+/// Moves VMs that still have work from pools with more than their part of the
+/// fleet to pools that have lacked VMs for present work for a while. Expected
+/// work is no reason for this, as it varies from moment to moment and a move
+/// costs its VM seconds.
+void PoolPlanner::PlanRebalancing(std::vector<PoolBalance>& aPools)
+{
+  for (PoolBalance& pool : aPools) {
+    pool.isShort_ =
+      HasLasted(shortSince_, pool.service_, pool.dueNow_ > 0, kImbalanceDelay);
+    pool.hasExcess_ =
+      HasLasted(excessSince_, pool.service_, pool.due_ < 0, kImbalanceDelay);
+  }
+  for (PoolBalance& giver : aPools) {
+    for (PoolBalance& taker : aPools) {
+      if (!giver.hasExcess_ || !taker.isShort_) {
+        continue;
       }
+      int most = std::min(taker.dueNow_, -giver.due_);
+      int moved = PlanTransfer({ giver.service_, taker.service_, most, {} });
+      taker.Receive(moved);
+      giver.Receive(-moved);
     }
-    Millis since = surplusSince_.try_emplace(service, now).first->second;
-    if (count < 0 && now - since >= kSurplusDelay) {
-      PlanTransfer({ service, spare_, -count, {} });
-    }
   }
 }
 
+/// Returns true if a condition that now holds or does not hold for a service
+/// has held for aTime. aSince keeps since when it holds, by service.
+bool PoolPlanner::HasLasted(std::map<std::string, Millis>& aSince,
+                            const std::string& aService,
+                            bool aHolds,
+                            Millis aTime) const
+{
+  if (!aHolds) {
+    aSince.erase(aService);
+    return false;
+  }
+  Millis now = clock_.Now();
+  return now - aSince.try_emplace(aService, now).first->second >= aTime;
+}
+
 /// Returns the size of the VMs in a pool, or of any VM if the pool is empty.
 Resources PoolPlanner::VmSize(std::string_view aPool) const
 {
@@ -278,10 +384,11 @@
 }
 
 /// Logs the inputs of the move decisions, rate-limited per pool.
-void PoolPlanner::LogPool(const Report& aReport, int aDeficit)
+void PoolPlanner::LogPool(const PoolBalance& aPool)
 {
   Millis now = clock_.Now();
-  const PoolReport& content = aReport.content_;
+  const Report& report = reports_.at(aPool.service_);
+  const PoolReport& content = report.content_;
   Millis& last = loggedAt_[content.service_];
   if (now - last < kLogInterval) {
     return;
@@ -290,8 +397,9 @@
   LogStateChange(
     "pool",
     { { "service", content.service_ },
-      { "vms", std::to_string(CountServing(content.service_)) },
-      { "missing", std::to_string(aDeficit) },
+      { "vms", std::to_string(aPool.serving_) },
+      { "missing", std::to_string(aPool.needed_) },
+      { "part", std::to_string(aPool.serving_ + aPool.due_) },
       { "targets", std::to_string(content.targets_.size()) },
       { "used_cpu", std::to_string(content.used_.cpu_) },
       { "waiting_cpu", std::to_string(content.waiting_.cpu_) },
@@ -301,14 +409,17 @@
         std::to_string(static_cast<int>(content.arrivingCpu_)) },
       { "labels", DeficitText(content.service_) },
       { "spare", std::to_string(CountServing(spare_)) },
-      { "age_ms", std::to_string((now - aReport.receivedAt_).count()) } });
+      { "age_ms", std::to_string((now - report.receivedAt_).count()) } });
 }
 
-/// Plans moves between two pools and returns how many. Picks the VMs with the
-/// fewest runs and, among these, the ones close to waiting work first.
+/// Plans moves between two pools and returns how many. Picks the VMs that are
+/// empty soonest and, of idle ones, those close to waiting work first.
 int PoolPlanner::PlanTransfer(const Transfer& aTransfer)
 {
-  std::vector<std::tuple<int, bool, std::string>> movable;
+  if (aTransfer.maxVms_ <= 0) {
+    return 0;
+  }
+  std::vector<std::tuple<Millis, int, bool, std::string>> movable;
   for (const auto& [name, vm] : vms_) {
     if (vm.pool_ != aTransfer.from_ || !IsAvailable(vm) ||
         !vm.HasLabel(aTransfer.label_) ||
@@ -318,14 +429,15 @@
     const TargetUse* use = FindUse(vm);
     bool isFar = !IsNearWaitingWork(vm, aTransfer.to_);
     if (IsSpare(aTransfer.from_)) {
-      movable.emplace_back(0, isFar, name);
-    } else if (use != nullptr && use->longRunning_ == 0) {
-      movable.emplace_back(use->runs_, isFar, name);
+      movable.emplace_back(Millis(0), 0, isFar, name);
+    } else if (use != nullptr && use->longRunning_ == 0 &&
+               use->emptyIn_ <= kMaxDrainTime) {
+      movable.emplace_back(use->emptyIn_, use->runs_, isFar, name);
     }
   }
   std::sort(movable.begin(), movable.end());
   int planned = 0;
-  for (const auto& [runs, isFar, name] : movable) {
+  for (const auto& [emptyIn, runs, isFar, name] : movable) {
     if (planned == aTransfer.maxVms_) {
       break;
     }
@@ -338,7 +450,13 @@
     for (auto& [label, deficit] : labelDeficits_[aTransfer.from_]) {
       deficit += vm.HasLabel(label) ? 1 : 0;
     }
-    plans_[name] = Plan{ Intent::Move, aTransfer.to_, 0, clock_.Now() };
+    Plan plan{ Intent::Move, aTransfer.to_, 0, clock_.Now() };
+    plan.timeout_ =
+      std::max(kMoveTimeout,
+               Millis(static_cast<std::int64_t>(
+                 kDrainTolerance * static_cast<double>(emptyIn.count()))));
+    plan.isForLabel_ = !aTransfer.label_.empty();
+    plans_[name] = plan;
     ++planned;
   }
   return planned;
--- a/lib/Pools/PoolReport.cpp
+++ b/lib/Pools/PoolReport.cpp
@@ -31,9 +31,11 @@
 std::string EncodeReport(const PoolReport& aReport)
 {
   Json targets = Json::array();
+  Json emptyIn = Json::array();
   for (const TargetUse& use : aReport.targets_) {
     targets.push_back(
       { use.target_, use.runs_, use.longRunning_, use.vacating_ });
+    emptyIn.push_back(use.emptyIn_.count());
   }
   Json json = {
     { "service", aReport.service_ },
@@ -45,7 +47,8 @@
     { "racks", RowsOf(aReport.byRack_) },
     { "arriving", aReport.arrivingCpu_ },
     { "least", aReport.minVms_ },
-    { "targets", targets }
+    { "targets", targets },
+    { "empty_in_ms", emptyIn }
   };
   if (aReport.caps_) {
     json["caps"] = ToJson(*aReport.caps_);
@@ -95,6 +98,13 @@
                                   row.at(3),
                                   inRoster });
     }
+    // Earlier versions leave it out.
+    if (auto emptyIn = aJson.find("empty_in_ms"); emptyIn != aJson.end()) {
+      for (std::size_t i = 0; i < report.targets_.size(); ++i) {
+        report.targets_[i].emptyIn_ =
+          Millis(IntegerOf(emptyIn->at(i), kAmount));
+      }
+    }
     if (auto caps = aJson.find("caps"); caps != aJson.end()) {
       report.caps_ = CapReportFrom(*caps);
     }
--- a/lib/Scheduling/Scheduler.cpp
+++ b/lib/Scheduling/Scheduler.cpp
@@ -277,8 +277,17 @@
   return work;
 }
 
+/// Returns how much longer a run is expected to take. One that has exceeded its
+/// estimate is expected to take as long again.
+static Millis TimeLeft(const RunState& aRun, Millis aNow)
+{
+  Millis elapsed = aNow - aRun.sentAt_;
+  return elapsed < aRun.estimate_ ? aRun.estimate_ - elapsed : elapsed;
+}
+
 PoolReport Scheduler::Report() const
 {
+  Millis now = clock_.Now();
   PoolReport report;
   report.service_ = settings_.service_;
   for (const auto& [id, target] : targets_) {
@@ -296,6 +305,9 @@
     report.used_ += used;
     for (const auto& [key, run] : target.runs_) {
       use.longRunning_ += run.longRunning_ ? 1 : 0;
+      if (!run.longRunning_) {
+        use.emptyIn_ = std::max(use.emptyIn_, TimeLeft(run, now));
+      }
       if (run.longRunning_) {
         report.longRunning_.cpu_ += run.bestEffort_ ? 0 : run.takes_.cpu_;
         report.longRunning_.memory_ += run.takes_.memory_;
@@ -306,7 +318,7 @@
     }
     report.targets_.push_back(std::move(use));
   }
-  report.arrivingCpu_ = arrivals_.ExpectedRate(clock_.Now());
+  report.arrivingCpu_ = arrivals_.ExpectedRate(now);
   ByAccount waiting;
   for (const auto& [id, job] : openJobs_) {
     if (!job->IsEnded()) {
--- a/unittests/Pools/PoolReportTest.cpp
+++ b/unittests/Pools/PoolReportTest.cpp
@@ -29,7 +29,7 @@
     report.byRack_["r"] = { 9, 10, 0 };
     report.arrivingCpu_ = 11;
     report.minVms_ = 12;
-    report.targets_.push_back({ "t1", 3, 2, false, true });
+    report.targets_.push_back({ "t1", 3, 2, false, true, Millis(700) });
     report.targets_.push_back({ "t2", 0, 0, true, true });
     report.targets_.push_back({ "t3", 0, 0, true, false });
 
@@ -53,6 +53,7 @@
       CPPUNIT_ASSERT_EQUAL(sent.longRunning_, received.longRunning_);
       CPPUNIT_ASSERT_EQUAL(sent.vacating_, received.vacating_);
       CPPUNIT_ASSERT_EQUAL(sent.inRoster_, received.inRoster_);
+      CPPUNIT_ASSERT_EQUAL(sent.emptyIn_.count(), received.emptyIn_.count());
     }
   }
 
--- a/unittests/Pools/PoolSharingTest.cpp
+++ b/unittests/Pools/PoolSharingTest.cpp
@@ -14,6 +14,12 @@
 {
   CPPUNIT_TEST_SUITE(PoolSharingTest);
   CPPUNIT_TEST(BackloggedPoolGivesVmsToAStarvedOne);
+  CPPUNIT_TEST(LateWorkYieldsToWorkInTime);
+  CPPUNIT_TEST(ABriefShortageMovesNoBusyVms);
+  CPPUNIT_TEST(ExpectedWorkMovesNoBusyVms);
+  CPPUNIT_TEST(VmsThatAreEmptySoonestAreTaken);
+  CPPUNIT_TEST(VmsWithLongRunsAreDrainedForAsLongAsTheyTake);
+  CPPUNIT_TEST(UnneededMovesAreDropped);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -41,10 +47,90 @@
     CPPUNIT_ASSERT_EQUAL(12, CountVms("b"));
   }
 
+  void LateWorkYieldsToWorkInTime()
+  {
+    AddVms("a", 2);
+    AddVms("b", 22);
+    work_["a"] = { 15, 15 }; // with headroom 18 VMs
+    work_["b"] = { 40, 0 };
+    Run(Millis(5000));
+    CPPUNIT_ASSERT_EQUAL(18, CountVms("a"));
+    CPPUNIT_ASSERT_EQUAL(6, CountVms("b"));
+  }
+
+  /// A move costs its VM some seconds, so noise must not cause any.
+  void ABriefShortageMovesNoBusyVms()
+  {
+    AddVms("a", 4);
+    AddVms("b", 20);
+    work_["b"] = { 40, 40 };
+    for (int i = 0; i < 10; ++i) {
+      work_["a"] = { 20, 20 };
+      Run(Millis(400));
+      work_["a"] = { 2, 2 };
+      Run(Millis(200));
+    }
+    CPPUNIT_ASSERT_EQUAL(20, CountVms("b"));
+  }
+
+  void ExpectedWorkMovesNoBusyVms()
+  {
+    AddVms("a", 4);
+    AddVms("b", 20);
+    work_["a"] = { 3, 3, 500 };
+    work_["b"] = { 40, 40 };
+    Run(Millis(5000));
+    CPPUNIT_ASSERT_EQUAL(20, CountVms("b"));
+  }
+
+  void VmsThatAreEmptySoonestAreTaken()
+  {
+    AddVms("a", 11);
+    AddVms("b", 13);
+    work_["a"] = { 40, 40 };
+    work_["b"] = { 40, 40 };
+    for (Vm& vm : vms_) {
+      bool isSoonest = vm.listed_.vm_ == "b7";
+      vm.drainTime_ = isSoonest ? Millis(300) : Millis(6000);
+    }
+    Run(Millis(1500));
+    CPPUNIT_ASSERT_EQUAL(1, moves_);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), Find("b7").listed_.pool_);
+  }
+
+  void VmsWithLongRunsAreDrainedForAsLongAsTheyTake()
+  {
+    AddVms("a", 2);
+    AddVms("b", 22);
+    work_["a"] = { 40, 40 };
+    work_["b"] = { 40, 40 };
+    for (Vm& vm : vms_) {
+      vm.drainTime_ = Millis(8000);
+    }
+    Run(Millis(12000));
+    CPPUNIT_ASSERT_EQUAL(10, moves_);
+    CPPUNIT_ASSERT_EQUAL(12, CountVms("a"));
+  }
+
+  void UnneededMovesAreDropped()
+  {
+    AddVms("a", 1);
+    AddVms("b", 23);
+    work_["a"] = { 40, 40 };
+    work_["b"] = { 40, 40 };
+    for (Vm& vm : vms_) {
+      vm.drainTime_ = Millis(8000);
+    }
+    Run(Millis(2000));
+    CPPUNIT_ASSERT_EQUAL(12, CountVms("b"));
+    work_["a"] = { 0, 0 };
+    Run(Millis(500));
+    CPPUNIT_ASSERT_EQUAL(23, CountVms("b"));
+    CPPUNIT_ASSERT_EQUAL(0, moves_);
+  }
+
 private:
   static constexpr Millis kTick{ 100 };
-  /// Until the runs of a VM that takes no starts have ended.
-  static constexpr Millis kDrainTime{ 1000 };
   static constexpr Millis kMoveTime{ 1500 };
   static constexpr std::int64_t kVmCpu = 8000;
 
@@ -53,10 +139,13 @@
   {
     int present_ = 0; ///< runs or waits
     int inTime_ = 0;  ///< of these, can be in time
+    int expected_ = 0;
   };
   struct Vm
   {
     PoolVm listed_;
+    /// Until its runs have ended once it takes no starts.
+    Millis drainTime_{ 1000 };
     std::optional<Millis> vacatingSince_;
     Millis upAt_{ 0 }; ///< end of its last move
   };
@@ -128,28 +217,40 @@
       } else if (!vm.vacatingSince_) {
         vm.vacatingSince_ = clock_.Now();
       }
-      bool isDrained =
-        vm.vacatingSince_ && clock_.Now() - *vm.vacatingSince_ >= kDrainTime;
-      bool hasRun = busy < aWork.present_ && !isDrained;
+      Millis left = vm.drainTime_;
+      if (vm.vacatingSince_) {
+        left -= clock_.Now() - *vm.vacatingSince_;
+      }
+      bool hasRun = busy < aWork.present_ && left > Millis(0);
       busy += hasRun ? 1 : 0;
-      report.targets_.push_back(
-        { vm.listed_.target_, hasRun ? 1 : 0, 0, isVacating });
+      report.targets_.push_back({ vm.listed_.target_,
+                                  hasRun ? 1 : 0,
+                                  0,
+                                  isVacating,
+                                  false,
+                                  hasRun ? left : Millis(0) });
     }
     report.used_.cpu_ = busy * kVmCpu;
     report.waiting_.cpu_ = (aWork.present_ - busy) * kVmCpu;
     report.inTime_.cpu_ = aWork.inTime_ * kVmCpu;
+    report.arrivingCpu_ = static_cast<double>(aWork.expected_ * kVmCpu);
     planner_->SetReport(report);
   }
 
-  void Move(const MoveVm& aMove)
+  Vm& Find(const std::string& aVm)
   {
-    auto vm = std::find_if(vms_.begin(), vms_.end(), [&](const Vm& aVm) {
-      return aVm.listed_.vm_ == aMove.vm_;
+    return *std::find_if(vms_.begin(), vms_.end(), [&](const Vm& aEntry) {
+      return aEntry.listed_.vm_ == aVm;
     });
-    vm->listed_.pool_ = aMove.pool_;
-    vm->listed_.target_ += "'";
-    vm->vacatingSince_.reset();
-    vm->upAt_ = clock_.Now() + kMoveTime;
+  }
+
+  void Move(const MoveVm& aMove)
+  {
+    Vm& vm = Find(aMove.vm_);
+    vm.listed_.pool_ = aMove.pool_;
+    vm.listed_.target_ += "'";
+    vm.vacatingSince_.reset();
+    vm.upAt_ = clock_.Now() + kMoveTime;
     ++moves_;
     planner_->OnVmOrderEnd(aMove.vm_, VmOrderEnd::Done);
   }
