pools: services that lack VMs with the same label share the spare ones

Found while looking for the cause of SHORT elsewhere: spare VMs with a label all went to the first service, in the order of names, that lacked some; another with as much labelled work waiting got none. They are now divided equally. PoolPlannerTest::VmsWithAScarceLabelAreShared failed before: 0 of 4 VMs for the second service, now 2. Labelled VMs that pools hold already are not rebalanced.

--- a/include/coltsfootshed/Pools/FleetDivision.h
+++ b/include/coltsfootshed/Pools/FleetDivision.h
@@ -18,6 +18,10 @@
   int expected_ = 0; ///< for expected work and the reserve
 };
 
+/// Returns how many of aVms VMs each taker gets: an equal part, but no more
+/// than it wants. No number may be negative.
+std::vector<int> DivideEqually(std::span<const int> aWanted, int aVms);
+
 /// Returns how many of aVms VMs each pool gets. All pools get what they need
 /// for one purpose before any gets VMs for the next; where VMs run out, what is
 /// left is divided equally, and no pool gets more than it needs.
--- a/include/coltsfootshed/Pools/PoolPlanner.h
+++ b/include/coltsfootshed/Pools/PoolPlanner.h
@@ -215,7 +215,8 @@
     std::string label_; ///< that the VMs must carry; empty: any
   };
   int PlanTransfer(const Transfer& aTransfer);
-  void PlanLabelMoves(const std::string& aService);
+  void PlanLabelMoves(std::span<const std::string> aServices);
+  int DeficitOf(const std::string& aService, const std::string& aLabel) const;
   int LargestDeficit(const PoolVm& aVm) const;
   std::string DeficitText(const std::string& aService);
   bool IsNearWaitingWork(const PoolVm& aVm, std::string_view aService) const;
--- a/lib/Pools/FleetDivision.cpp
+++ b/lib/Pools/FleetDivision.cpp
@@ -11,9 +11,7 @@
                                           &PoolDemand::present_,
                                           &PoolDemand::expected_ };
 
-/// Returns how much of aAmount each taker gets: an equal part, but no more than
-/// it wants.
-static std::vector<int> DivideEqually(std::span<const int> aWanted, int aAmount)
+std::vector<int> DivideEqually(std::span<const int> aWanted, int aVms)
 {
   std::vector<std::size_t> bySize(aWanted.size());
   std::iota(bySize.begin(), bySize.end(), 0);
@@ -24,8 +22,8 @@
   std::vector<int> parts(aWanted.size(), 0);
   auto takers = static_cast<int>(aWanted.size());
   for (std::size_t taker : bySize) {
-    parts[taker] = std::min(aWanted[taker], aAmount / takers);
-    aAmount -= parts[taker];
+    parts[taker] = std::min(aWanted[taker], aVms / takers);
+    aVms -= parts[taker];
     --takers;
   }
   return parts;
--- a/lib/Pools/PoolLabels.cpp
+++ b/lib/Pools/PoolLabels.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <set>
 
 namespace coltsfootshed {
 
@@ -49,22 +50,48 @@
                                           });
 }
 
-/// Plans moves of VMs that carry labels which a service lacks: from the spare
-/// pool first, then from other pools that can give them up.
-void PoolPlanner::PlanLabelMoves(const std::string& aService)
+/// Plans moves of VMs that carry labels which services lack: from the spare
+/// pool first, which is divided between them, then from other pools that can
+/// give them up.
+void PoolPlanner::PlanLabelMoves(std::span<const std::string> aServices)
 {
-  for (auto& [label, deficit] : labelDeficits_[aService]) {
-    if (deficit > 0) {
-      deficit -= PlanTransfer({ spare_, aService, deficit, label });
+  std::set<std::string> labels;
+  for (const std::string& service : aServices) {
+    for (const auto& [label, deficit] : labelDeficits_[service]) {
+      labels.insert(label);
     }
-    for (const std::string& other : services_) {
-      if (deficit > 0 && other != aService) {
-        deficit -= PlanTransfer({ other, aService, deficit, label });
+  }
+  for (const std::string& label : labels) {
+    std::vector<int> wanted;
+    for (const std::string& service : aServices) {
+      wanted.push_back(std::max(0, DeficitOf(service, label)));
+    }
+    std::vector<int> parts = DivideEqually(wanted, CountServing(spare_, label));
+    for (std::size_t i = 0; i < aServices.size(); ++i) {
+      const std::string& service = aServices[i];
+      int missing =
+        wanted[i] - PlanTransfer({ spare_, service, parts[i], label });
+      for (const std::string& giver : services_) {
+        if (giver != service) {
+          missing -= PlanTransfer({ giver, service, missing, label });
+        }
       }
     }
   }
 }
 
+/// Returns how many VMs with a label a service lacks, 0 if it needs none.
+int PoolPlanner::DeficitOf(const std::string& aService,
+                           const std::string& aLabel) const
+{
+  auto deficits = labelDeficits_.find(aService);
+  if (deficits == labelDeficits_.end()) {
+    return 0;
+  }
+  auto deficit = deficits->second.find(aLabel);
+  return deficit == deficits->second.end() ? 0 : deficit->second;
+}
+
 /// Formats the deficits of a service for the log as "label:deficit" pairs; a
 /// negative number is a surplus.
 std::string PoolPlanner::DeficitText(const std::string& aService)
--- a/lib/Pools/PoolPlanner.cpp
+++ b/lib/Pools/PoolPlanner.cpp
@@ -264,22 +264,21 @@
 /// fleet. Pools without a fresh report are left out.
 std::vector<PoolPlanner::PoolBalance> PoolPlanner::BalancePools()
 {
+  std::vector<std::string> reporting;
+  for (const std::string& service : services_) {
+    if (const Report* report = FreshReport(service)) {
+      labelDeficits_[service] = LabelDeficits(report->content_);
+      reporting.push_back(service);
+    }
+  }
+  PlanLabelMoves(reporting);
   std::vector<PoolBalance> pools;
   std::vector<PoolDemand> demands;
   int vms = CountServing(spare_);
-  for (const std::string& service : services_) {
-    const Report* report = FreshReport(service);
-    if (report == nullptr) {
-      continue;
-    }
-    labelDeficits_[service] = LabelDeficits(report->content_);
-    PlanLabelMoves(service);
-    demands.push_back(DemandOf(report->content_, VmSize(service)));
-    pools.push_back({ service });
-  }
-  for (PoolBalance& pool : pools) {
-    pool.serving_ = CountServing(pool.service_);
-    vms += pool.serving_;
+  for (const std::string& service : reporting) {
+    demands.push_back(DemandOf(reports_.at(service).content_, VmSize(service)));
+    pools.push_back({ service, CountServing(service) });
+    vms += pools.back().serving_;
   }
   std::vector<int> parts = DivideFleet(demands, vms);
   for (std::size_t i = 0; i < pools.size(); ++i) {
--- a/unittests/Pools/PoolPlannerTest.cpp
+++ b/unittests/Pools/PoolPlannerTest.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(SuccessorRepeatsNoMaintenance);
   CPPUNIT_TEST(UnansweredOrderIsRepeated);
   CPPUNIT_TEST(LabelledWorkGetsVmsThatCarryTheLabel);
+  CPPUNIT_TEST(VmsWithAScarceLabelAreShared);
   CPPUNIT_TEST(VmsWithNeededLabelsStay);
   CPPUNIT_TEST(VmWithScarceLabelTakesWorkAgain);
   CPPUNIT_TEST(VmsInMaintenanceAreReplaced);
@@ -209,6 +210,28 @@
     CPPUNIT_ASSERT_EQUAL(std::string("spare3"), moves[0].vm_);
   }
 
+  /// Guards against labelled work of one service that keeps that of another
+  /// from all VMs which can run it.
+  void VmsWithAScarceLabelAreShared()
+  {
+    for (PoolVm& vm : vms_) {
+      vm.labels_ = { vm.pool_ == "spare" ? "gpu" : "plain", "r1" };
+    }
+    planner_->SetVms(vms_);
+    for (const char* service : { "a", "b" }) {
+      PoolReport report = ReportOf(service, 0, 4);
+      report.byLabel_["gpu"] = report.waiting_;
+      report.inTime_ = report.waiting_;
+      planner_->SetReport(report);
+    }
+    auto moves = Moves();
+    auto toB = std::count_if(moves.begin(), moves.end(), [](const auto& aMove) {
+      return aMove.pool_ == "b";
+    });
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), moves.size());
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(2), toB);
+  }
+
   void VmsWithNeededLabelsStay()
   {
     SetLabels();
