tests: runs that are overdue are not reported as about to end

The planner drains the VMs that are expected to be empty soonest. The test guards against draining one whose run has exceeded its estimate many times.

--- a/unittests/Scheduling/SchedulerTest.cpp
+++ b/unittests/Scheduling/SchedulerTest.cpp
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(ALateLeaderSendsFewerStarts);
   CPPUNIT_TEST(ARiseOfArrivalsIsReportedAtOnce);
   CPPUNIT_TEST(LateWorkIsNotReportedAsInTime);
+  CPPUNIT_TEST(OverdueRunsAreNotReportedAsAboutToEnd);
   CPPUNIT_TEST(ALostStartIsDetectedByAProbe);
   CPPUNIT_TEST(AnOutdatedHoldAnswerIsIgnored);
   CPPUNIT_TEST(ChangesAreSavedByAge);
@@ -738,6 +739,21 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t(0), late.inTime_.cpu_);
   }
 
+  /// A VM would be drained for a run that may take many times its estimate.
+  void OverdueRunsAreNotReportedAsAboutToEnd()
+  {
+    StartOne();
+    const RunState run = scheduler_->Targets().at("t1").runs_.begin()->second;
+    auto emptyIn = [&] {
+      return scheduler_->Report().targets_.at(0).emptyIn_.count();
+    };
+    Millis elapsed = clock_.Now() - run.sentAt_;
+    CPPUNIT_ASSERT(elapsed < run.estimate_);
+    CPPUNIT_ASSERT_EQUAL((run.estimate_ - elapsed).count(), emptyIn());
+    clock_.Advance(10 * run.estimate_);
+    CPPUNIT_ASSERT_EQUAL((elapsed + 10 * run.estimate_).count(), emptyIn());
+  }
+
   /// Without probes, a hold that waits reports the missing run up to 700 ms
   /// late, and with lost orders a task waits for two seconds.
   void ALostStartIsDetectedByAProbe()
