--- a/include/coltsfootshed/Pools/FleetDivision.h
+++ b/include/coltsfootshed/Pools/FleetDivision.h
@@ -12,10 +12,10 @@
 /// those before it.
 struct PoolDemand
 {
-  int lasting_ = 0;  ///< for long-running work, and to spread tasks over VMs
-  int inTime_ = 0;   ///< for present work that can be in time
-  int present_ = 0;  ///< for all present work
-  int expected_ = 0; ///< for expected work and the reserve
+  int longRunning_ = 0; ///< for long-running work, and to spread tasks over VMs
+  int inTime_ = 0;      ///< for present work that can be in time
+  int present_ = 0;     ///< for all present work
+  int expected_ = 0;    ///< for expected work and the reserve
 };
 
 /// Returns how many of aVms VMs each taker gets: an equal part, but no more
--- a/lib/Pools/FleetDivision.cpp
+++ b/lib/Pools/FleetDivision.cpp
@@ -6,7 +6,7 @@
 
 namespace coltsfootshed {
 
-static constexpr std::array kPurposes = { &PoolDemand::lasting_,
+static constexpr std::array kPurposes = { &PoolDemand::longRunning_,
                                           &PoolDemand::inTime_,
                                           &PoolDemand::present_,
                                           &PoolDemand::expected_ };
--- a/lib/Pools/PoolPlanner.cpp
+++ b/lib/Pools/PoolPlanner.cpp
@@ -140,16 +140,16 @@
 PoolDemand PoolPlanner::DemandOf(const PoolReport& aReport,
                                  const Resources& aVmSize)
 {
-  const Resources& lasting = aReport.longRunning_;
+  const Resources& longRunning = aReport.longRunning_;
   // Long-running runs free no room for new work and need no headroom.
   auto vmsFor = [&](double aCpu, double aMemory) {
-    double vms = VmsToCarry(static_cast<double>(lasting.cpu_) + aCpu,
-                            static_cast<double>(lasting.memory_) + aMemory,
+    double vms = VmsToCarry(static_cast<double>(longRunning.cpu_) + aCpu,
+                            static_cast<double>(longRunning.memory_) + aMemory,
                             aVmSize);
     return static_cast<int>(std::ceil(vms));
   };
   Resources present = aReport.used_;
-  present -= lasting;
+  present -= longRunning;
   present += aReport.waiting_;
   double inTimeCpu = kHeadroom * static_cast<double>(aReport.inTime_.cpu_);
   double inTimeMemory =
@@ -157,8 +157,9 @@
   double cpu = kHeadroom * static_cast<double>(present.cpu_);
   double memory = kHeadroom * static_cast<double>(present.memory_);
   PoolDemand demand;
-  demand.lasting_ = std::max(vmsFor(0, 0), aReport.minVms_);
-  demand.inTime_ = std::max(demand.lasting_, vmsFor(inTimeCpu, inTimeMemory));
+  demand.longRunning_ = std::max(vmsFor(0, 0), aReport.minVms_);
+  demand.inTime_ =
+    std::max(demand.longRunning_, vmsFor(inTimeCpu, inTimeMemory));
   demand.present_ = std::max(demand.inTime_, vmsFor(cpu, memory));
   // Headroom on expected arrivals would not make them more certain.
   demand.expected_ =
@@ -356,8 +357,8 @@
   }
 }
 
-/// Returns true if a condition that now holds or does not hold for a service
-/// has held for aTime. aSince keeps since when it holds, by service.
+/// Notes in aSince, by service, whether a condition holds now, and returns true
+/// if it has held for aTime.
 bool PoolPlanner::HasLasted(std::map<std::string, Millis>& aSince,
                             const std::string& aService,
                             bool aHolds,
--- a/unittests/Pools/FleetDivisionTest.cpp
+++ b/unittests/Pools/FleetDivisionTest.cpp
@@ -58,8 +58,8 @@
       int needed = 0;
       for (const std::vector<int>& step : steps) {
         PoolDemand demand;
-        demand.lasting_ = step[0];
-        demand.inTime_ = demand.lasting_ + step[1];
+        demand.longRunning_ = step[0];
+        demand.inTime_ = demand.longRunning_ + step[1];
         demand.present_ = demand.inTime_ + step[2];
         demand.expected_ = demand.present_ + step[3];
         needed += demand.expected_;
