leaders: a new leader does not wait for targets that no longer exist

Cause: a new leader waits for each target that the saved roster names and that does not answer, as runs may exist on it. The class of fault: what is gone is not told from what is silent, and costs as much. Holding moves back until the roster omits the target was tried twice and costs more than it gains, as each move then waits for the leader.

Fix: the roster names the VM of each target. A target is gone if another one has answered on its VM, or if its VM has certainly left the pool: leaders report for which targets they wait, and the pool manager answers from the list of VMs and from the orders that the list may not show yet, its own and those that earlier managers saved before they sent them (VmPools). All that is not certain counts as existing, so no task starts twice; the wait still ends by time, so nothing can get stuck. Pool requests and reports, rosters and cf/pools of earlier versions are read as before.

--- a/include/coltsfootshed/Node/PoolManager.h
+++ b/include/coltsfootshed/Node/PoolManager.h
@@ -8,6 +8,7 @@
 #include "coltsfootshed/Node/LeaderRpc.h"
 #include "coltsfootshed/Node/WireFormat.h"
 #include "coltsfootshed/Pools/PoolPlanner.h"
+#include "coltsfootshed/Pools/VmPools.h"
 #include "coltsfootshed/Support/AliveGuard.h"
 
 namespace coltsfootshed {
@@ -46,7 +47,7 @@
   {
     std::string holder_;    ///< entry VM whose manager gave it
     std::int64_t wave_ = 0; ///< maintenance wave; 0 for a move
-    Millis at_{ 0 };        ///< when it was saved or loaded
+    Millis at_{ 0 };        ///< when it was saved, sent or loaded
   };
 
   void Load();
@@ -57,9 +58,13 @@
   void OnReport(const std::string& aService, const Result<PoolReport>& aReport);
   /// Requests a report soon, as there is a new order about caps.
   void TellSoon(const std::string& aService);
+  /// Returns which of the targets that a service's leader waits for no longer
+  /// exist, since their VMs are in other pools.
+  std::vector<std::string> GoneTargets(const std::string& aService) const;
   void Decide();
   void Execute(const PoolOrder& aOrder);
   void WriteWaveStatus(const PublishWave& aWaveStatus);
+  void OnMoveEnd(const MoveVm& aMove, VmOrderEnd aEnd);
   void OnOrderEnd(const std::string& aVm, VmOrderEnd aEnd);
   void LoadSaved(const std::string& aText);
   void Save(std::vector<PoolOrder> aOrders);
@@ -72,6 +77,7 @@
   Fence fence_;
   Millis holderLease_;
   PoolPlanner planner_;
+  VmPools vmPools_;
   CapCoordinator caps_;
   std::shared_ptr<const JobsConfig> config_;
   Timer tickTimer_;
@@ -80,7 +86,10 @@
   bool fencedOff_ = false;
   bool listInFlight_ = false;
   Millis nextListAt_{ 0 };
-  std::set<std::string> pendingReports_;  ///< services yet to report
+  Millis lastListAt_{ 0 };               ///< when it was requested
+  std::set<std::string> pendingReports_; ///< services yet to report
+  /// Targets for which leaders wait, by service.
+  std::map<std::string, std::vector<RosterTarget>> unanswered_;
   std::map<std::string, Millis> askedAt_; ///< last request, by service
   bool storeCallInFlight_ = false;
   /// Number of wave changes that the saved state contains.
--- a/include/coltsfootshed/Node/PoolRequest.h
+++ b/include/coltsfootshed/Node/PoolRequest.h
@@ -15,7 +15,9 @@
 {
   Fence managerFence_ = 0;
   std::vector<std::string> vacating_; ///< targets that must get no new runs
-  std::optional<CapOrder> caps_;      ///< if accounts have caps
+  /// Of PoolReport::unanswered_, the targets that no longer exist.
+  std::vector<std::string> gone_;
+  std::optional<CapOrder> caps_; ///< if accounts have caps
 };
 
 } // namespace coltsfootshed
--- a/include/coltsfootshed/Pools/PoolPlanner.h
+++ b/include/coltsfootshed/Pools/PoolPlanner.h
@@ -38,6 +38,13 @@
   Millis emptyIn_{ 0 };
 };
 
+/// A target of the saved roster, and the VM on which it ran.
+struct RosterTarget
+{
+  std::string target_;
+  std::string vm_;
+};
+
 /// Load of a service's pool, as the service's scheduler reports it.
 struct PoolReport
 {
@@ -56,6 +63,8 @@
   double arrivingCpu_ = 0;
   int minVms_ = 0; ///< needed to spread the tasks of its steps
   std::vector<TargetUse> targets_;
+  /// Targets for whose answer a new leader waits.
+  std::vector<RosterTarget> unanswered_;
   std::optional<CapReport> caps_; ///< if accounts have caps
 };
 
--- a/include/coltsfootshed/Scheduling/Scheduler.h
+++ b/include/coltsfootshed/Scheduling/Scheduler.h
@@ -194,6 +194,9 @@
   /// with fence aManagerFence. Returns false, and changes nothing, if a manager
   /// with a higher fence has called before. Ids of unknown targets are ignored.
   bool SetVacating(Fence aManagerFence, std::span<const std::string> aTargets);
+  /// Waits no longer for targets of the roster that no longer exist, so that no
+  /// run on them can exist either. Does nothing for targets that have answered.
+  void RetireTargets(std::span<const std::string> aTargets);
 
   /// Sets the weights and caps of accounts.
   void SetAccounts(std::span<const AccountConfig> aAccounts);
@@ -358,6 +361,10 @@
   void Suspect(TargetState& aTarget, Millis aSentAt);
   static void ReduceSuspicion(TargetState& aTarget, Millis aSentAt);
   void CheckReady();
+  /// Returns true if a run of an earlier scheduler may exist on the target.
+  bool IsAwaited(const TargetState& aTarget) const;
+  void Retire(TargetState& aTarget, std::string_view aReason);
+  void RetireReplacedTargets();
   void CountOutcome(TargetState& aTarget, const std::string& aJob, bool aDone);
 
   // Stops and pace.
--- a/include/coltsfootshed/Scheduling/TargetState.h
+++ b/include/coltsfootshed/Scheduling/TargetState.h
@@ -85,8 +85,10 @@
   bool inRoster_ = false;   ///< the saved roster names it
   /// The saved roster may name it: no save that omits it is confirmed.
   bool mayBeInRoster_ = false;
-  bool held_ = false;          ///< has answered under this scheduler's fence
-  Millis heldSince_{ 0 };      ///< when it first did
+  bool held_ = false;     ///< has answered under this scheduler's fence
+  Millis heldSince_{ 0 }; ///< when it first did
+  /// It no longer exists, nor does any run on it. Never set for held_ ones.
+  bool gone_ = false;
   std::int64_t startedAt_ = 0; ///< incarnation that answered last; 0: none
   /// When the answer that gave clockRead_ arrived.
   Millis clockReadAt_{ 0 };
--- a/lib/Node/LeaderRpc.cpp
+++ b/lib/Node/LeaderRpc.cpp
@@ -268,27 +268,36 @@
        });
 }
 
-/// Encodes what stands in the body of a pool request. Without caps it is the
+/// Encodes what stands in the body of a pool request. Without more it is the
 /// list of vacating targets alone, as earlier versions read it.
 static std::string EncodeBody(const PoolRequest& aRequest)
 {
-  if (!aRequest.caps_) {
+  if (!aRequest.caps_ && aRequest.gone_.empty()) {
     return Json(aRequest.vacating_).dump();
   }
-  return Json{
-    { "vacating", aRequest.vacating_ }, { "caps", ToJson(*aRequest.caps_) }
-  }.dump();
+  Json json = { { "vacating", aRequest.vacating_ } };
+  if (!aRequest.gone_.empty()) {
+    json["gone"] = aRequest.gone_;
+  }
+  if (aRequest.caps_) {
+    json["caps"] = ToJson(*aRequest.caps_);
+  }
+  return json.dump();
 }
 
 static Result<PoolRequest> DecodeBody(Fence aManagerFence,
                                       const std::string& aText)
 {
   auto read = [&](const Json& aJson) {
-    PoolRequest request{ aManagerFence, {}, {} };
+    PoolRequest request;
+    request.managerFence_ = aManagerFence;
     request.vacating_ = (aJson.is_array() ? aJson : aJson.at("vacating"))
                           .get<std::vector<std::string>>();
-    if (aJson.is_object()) {
-      request.caps_ = CapOrderFrom(aJson.at("caps"));
+    if (auto gone = aJson.find("gone"); gone != aJson.end()) {
+      request.gone_ = gone->get<std::vector<std::string>>();
+    }
+    if (auto caps = aJson.find("caps"); caps != aJson.end()) {
+      request.caps_ = CapOrderFrom(*caps);
     }
     return request;
   };
--- a/lib/Node/PoolManager.cpp
+++ b/lib/Node/PoolManager.cpp
@@ -16,6 +16,8 @@
 /// Longest time until the next list request after an order.
 static constexpr Millis kListDelayAfterOrder{ 500 };
 static constexpr Millis kListRetryDelay{ 1000 };
+/// Time between requests for the list while a leader waits for targets.
+static constexpr Millis kListIntervalAtTakeOver{ 500 };
 static constexpr Millis kSaveRetryDelay{ 500 };
 /// Longest time that an order is in flight; the timeout of the VM service's
 /// client.
@@ -33,6 +35,7 @@
   , fence_(aFence)
   , holderLease_(aHolderLease)
   , planner_(dependencies_.clock_)
+  , vmPools_(dependencies_.clock_)
   , caps_(dependencies_.clock_,
           dependencies_.store_,
           fence_,
@@ -88,6 +91,14 @@
   using Orders = std::map<std::string, LastOrder>;
   auto read = [this](const Json& aJson) {
     Orders orders;
+    for (const auto& [vm, row] : aJson.at("ordered").items()) {
+      // Earlier versions leave out the pools of moves.
+      auto pools = row.size() > 2 ? row.at(2).get<std::set<std::string>>()
+                                  : std::set<std::string>{ "" };
+      for (const std::string& pool : pools) {
+        vmPools_.NoteMove(vm, pool);
+      }
+    }
     for (const auto& [vm, row] : aJson.at("ordered").items()) {
       orders[vm] = { row.at(0),
                      IntegerOf(row.at(1), kAnyCount),
@@ -160,8 +171,9 @@
 void PoolManager::ListVms()
 {
   listInFlight_ = true;
-  dependencies_.vms_.List(
-    guard_([this](const Result<std::vector<PoolVm>>& aVms) {
+  lastListAt_ = dependencies_.clock_.Now();
+  dependencies_.vms_.List(guard_(
+    [this, sentAt = lastListAt_](const Result<std::vector<PoolVm>>& aVms) {
       listInFlight_ = false;
       if (!aVms) {
         LogStateChange("vms-not-listed", { { "error", aVms.error().Text() } });
@@ -170,6 +182,7 @@
       }
       nextListAt_ = dependencies_.clock_.Now() + kListInterval;
       planner_.SetVms(*aVms);
+      vmPools_.SetVms(*aVms, sentAt);
     }));
 }
 
@@ -189,6 +202,7 @@
   askedAt_[aService] = dependencies_.clock_.Now();
   PoolRequest request{ fence_,
                        planner_.VacatingTargets(aService),
+                       GoneTargets(aService),
                        caps_.OrderFor(aService) };
   dependencies_.leaderRpc_.AskPool(
     aService,
@@ -202,8 +216,14 @@
                            const Result<PoolReport>& aReport)
 {
   pendingReports_.erase(aService);
+  unanswered_.erase(aService);
   if (aReport) {
     planner_.SetReport(*aReport);
+    if (!aReport->unanswered_.empty()) {
+      unanswered_[aService] = aReport->unanswered_;
+      nextListAt_ =
+        std::min(nextListAt_, lastListAt_ + kListIntervalAtTakeOver);
+    }
     if (aReport->caps_) {
       caps_.SetReport(aService, *aReport->caps_);
     }
@@ -214,6 +234,22 @@
   }
 }
 
+std::vector<std::string> PoolManager::GoneTargets(
+  const std::string& aService) const
+{
+  std::vector<std::string> gone;
+  auto found = unanswered_.find(aService);
+  if (found == unanswered_.end()) {
+    return gone;
+  }
+  for (const RosterTarget& target : found->second) {
+    if (vmPools_.HasLeft(target.vm_, aService)) {
+      gone.push_back(target.target_);
+    }
+  }
+  return gone;
+}
+
 void PoolManager::TellSoon(const std::string& aService)
 {
   if (dependencies_.clock_.Now() - askedAt_[aService] >= kMinRequestInterval) {
@@ -221,16 +257,26 @@
   }
 }
 
+/// Returns the VM of an order to move or maintain one.
+static const std::string& VmOf(const PoolOrder& aOrder)
+{
+  const auto* move = std::get_if<MoveVm>(&aOrder);
+  return move != nullptr ? move->vm_ : std::get<MaintainVm>(aOrder).vm_;
+}
+
 void PoolManager::Execute(const PoolOrder& aOrder)
 {
   VmOrderFence fence{ node_, fence_ * kOrdersPerFence + ++orderCount_ };
+  if (auto last = lastOrders_.find(VmOf(aOrder)); last != lastOrders_.end()) {
+    last->second.at_ = dependencies_.clock_.Now();
+  }
   if (const auto* move = std::get_if<MoveVm>(&aOrder)) {
-    dependencies_.vms_.Move(move->vm_,
-                            move->pool_,
-                            fence,
-                            guard_([this, vm = move->vm_](VmOrderEnd aEnd) {
-                              OnOrderEnd(vm, aEnd);
-                            }));
+    vmPools_.NoteMove(move->vm_, move->pool_);
+    dependencies_.vms_.Move(
+      move->vm_,
+      move->pool_,
+      fence,
+      guard_([this, move = *move](VmOrderEnd aEnd) { OnMoveEnd(move, aEnd); }));
   } else if (const auto* maintain = std::get_if<MaintainVm>(&aOrder)) {
     dependencies_.vms_.Maintain(
       maintain->vm_,
@@ -260,6 +306,16 @@
     }));
 }
 
+void PoolManager::OnMoveEnd(const MoveVm& aMove, VmOrderEnd aEnd)
+{
+  if (aEnd == VmOrderEnd::Done) {
+    vmPools_.ConfirmMove(aMove.vm_, aMove.pool_);
+  } else {
+    vmPools_.NoteMove(aMove.vm_, aMove.pool_);
+  }
+  OnOrderEnd(aMove.vm_, aEnd);
+}
+
 void PoolManager::OnOrderEnd(const std::string& aVm, VmOrderEnd aEnd)
 {
   if (aEnd == VmOrderEnd::FenceTooLow) {
@@ -273,13 +329,6 @@
     std::min(nextListAt_, dependencies_.clock_.Now() + kListDelayAfterOrder);
 }
 
-/// Returns the VM of an order to move or maintain one.
-static const std::string& VmOf(const PoolOrder& aOrder)
-{
-  const auto* move = std::get_if<MoveVm>(&aOrder);
-  return move != nullptr ? move->vm_ : std::get<MaintainVm>(aOrder).vm_;
-}
-
 /// Saves which maintenance was begun and which VMs get orders, and sends the
 /// orders once that is durable.
 void PoolManager::Save(std::vector<PoolOrder> aOrders)
@@ -290,6 +339,9 @@
     return now - aEntry.second.at_ > holderLease_ + kOrderTimeout;
   });
   for (const PoolOrder& order : aOrders) {
+    if (const auto* move = std::get_if<MoveVm>(&order)) {
+      vmPools_.NoteMove(move->vm_, move->pool_);
+    }
     const auto* maintain = std::get_if<MaintainVm>(&order);
     lastOrders_[VmOf(order)] = { node_,
                                  maintain == nullptr ? 0 : maintain->wave_,
@@ -297,7 +349,7 @@
   }
   Json ordered = Json::object();
   for (const auto& [vm, order] : lastOrders_) {
-    ordered[vm] = { order.holder_, order.wave_ };
+    ordered[vm] = { order.holder_, order.wave_, vmPools_.RecentMoves(vm) };
   }
   Json saved = { { "waves", planner_.EncodeWaves() }, { "ordered", ordered } };
   Transaction transaction = FencedTransaction(keys::kPoolsDuty, fence_);
--- a/lib/Node/ServiceLeader.cpp
+++ b/lib/Node/ServiceLeader.cpp
@@ -28,7 +28,7 @@
 {
   Json rows = Json::array();
   for (const TargetInfo& target : aTargets) {
-    rows.push_back({ target.id_, target.address_.Text() });
+    rows.push_back({ target.id_, target.address_.Text(), target.vm_ });
   }
   return rows.dump();
 }
@@ -48,6 +48,8 @@
       target.id_ = row.at(0);
       target.service_ = aService;
       target.address_ = *address;
+      // Earlier versions leave out the VM.
+      target.vm_ = row.size() > 2 ? row.at(2).get<std::string>() : "";
       targets.push_back(std::move(target));
     }
     return targets;
@@ -382,6 +384,9 @@
 {
   bool accepted =
     scheduler_.SetVacating(aRequest.managerFence_, aRequest.vacating_);
+  if (accepted) {
+    scheduler_.RetireTargets(aRequest.gone_);
+  }
   if (accepted && aRequest.caps_) {
     scheduler_.Caps().Apply(aRequest.managerFence_, *aRequest.caps_);
   }
--- a/lib/Pools/PoolReport.cpp
+++ b/lib/Pools/PoolReport.cpp
@@ -50,6 +50,13 @@
     { "targets", targets },
     { "empty_in_ms", emptyIn }
   };
+  if (!aReport.unanswered_.empty()) {
+    Json unanswered = Json::array();
+    for (const RosterTarget& target : aReport.unanswered_) {
+      unanswered.push_back({ target.target_, target.vm_ });
+    }
+    json["unanswered"] = unanswered;
+  }
   if (aReport.caps_) {
     json["caps"] = ToJson(*aReport.caps_);
   }
@@ -105,6 +112,11 @@
           Millis(IntegerOf(emptyIn->at(i), kAmount));
       }
     }
+    if (auto rows = aJson.find("unanswered"); rows != aJson.end()) {
+      for (const Json& row : *rows) {
+        report.unanswered_.push_back({ row.at(0), row.at(1) });
+      }
+    }
     if (auto caps = aJson.find("caps"); caps != aJson.end()) {
       report.caps_ = CapReportFrom(*caps);
     }
--- a/lib/Scheduling/Scheduler.cpp
+++ b/lib/Scheduling/Scheduler.cpp
@@ -318,6 +318,11 @@
     }
     report.targets_.push_back(std::move(use));
   }
+  for (const auto& [id, target] : targets_) {
+    if (IsAwaited(target) && !target.info_.vm_.empty()) {
+      report.unanswered_.push_back({ id, target.info_.vm_ });
+    }
+  }
   report.arrivingCpu_ = arrivals_.ExpectedRate(now);
   ByAccount waiting;
   for (const auto& [id, job] : openJobs_) {
@@ -541,7 +546,7 @@
     return true;
   }
   if (!aTarget.held_) {
-    return aTarget.registered_ || !ready_;
+    return aTarget.registered_ || IsAwaited(aTarget);
   }
   return aTarget.registered_ && !aTarget.vacating_;
 }
--- a/lib/Scheduling/SchedulerHolds.cpp
+++ b/lib/Scheduling/SchedulerHolds.cpp
@@ -8,6 +8,7 @@
 #include "coltsfootshed/Scheduling/Scheduler.h"
 
 #include <algorithm>
+#include <set>
 
 namespace coltsfootshed {
 
@@ -79,6 +80,9 @@
                      { "born", Text(aTarget.startedAt_) } });
     target.nextHoldAt_ = std::min(target.nextHoldAt_, clock_.Now());
   }
+  if (changed) {
+    target.gone_ = false;
+  }
   target.info_ = aTarget;
   target.registered_ = true;
   rosterStale_ |= !target.inRoster_;
@@ -116,12 +120,56 @@
   return true;
 }
 
+bool Scheduler::IsAwaited(const TargetState& aTarget) const
+{
+  return !ready_ && aTarget.inRoster_ && !aTarget.held_ && !aTarget.gone_;
+}
+
+void Scheduler::RetireTargets(std::span<const std::string> aTargets)
+{
+  for (const std::string& id : aTargets) {
+    auto found = targets_.find(id);
+    if (found != targets_.end() && IsAwaited(found->second)) {
+      Retire(found->second, "its VM is in another pool");
+    }
+  }
+}
+
+void Scheduler::Retire(TargetState& aTarget, std::string_view aReason)
+{
+  LogStateChange("target-gone",
+                 { { "target", aTarget.info_.id_ },
+                   { "vm", aTarget.info_.vm_ },
+                   { "reason", std::string(aReason) } });
+  aTarget.gone_ = true;
+  aTarget.registered_ = false;
+}
+
+/// Retires targets on whose VM another target has answered. The roster was read
+/// before that answer, so they existed before it, and a VM runs one target at a
+/// time.
+void Scheduler::RetireReplacedTargets()
+{
+  std::set<std::string_view> answeredVms;
+  for (const auto& [id, target] : targets_) {
+    if (target.held_ && target.lastAnswerAt_ > Millis(0)) {
+      answeredVms.insert(target.info_.vm_);
+    }
+  }
+  answeredVms.erase("");
+  for (auto& [id, target] : targets_) {
+    if (IsAwaited(target) && answeredVms.count(target.info_.vm_) > 0) {
+      Retire(target, "its VM runs another target");
+    }
+  }
+}
+
 void Scheduler::DecideHolds(std::vector<SchedulerOrder>& aOrders)
 {
   Millis now = clock_.Now();
   for (auto& [id, target] : targets_) {
-    bool needsHold = target.registered_ || !target.runs_.empty() ||
-                     (target.inRoster_ && !target.held_ && !ready_);
+    bool needsHold =
+      target.registered_ || !target.runs_.empty() || IsAwaited(target);
     if (target.holdInFlight_) {
       DecideProbe(target, aOrders);
       continue;
@@ -501,21 +549,22 @@
   Millis wait =
     knownToPredecessors_ ? settings_.lease_ : settings_.takeOverWait_;
   Millis limit = createdAt_ + wait + wait / 50 + Millis(100);
-  bool allHeld =
-    !rosterUnknown_ &&
-    std::all_of(targets_.begin(), targets_.end(), [](const auto& aEntry) {
-      return aEntry.second.held_ || !aEntry.second.inRoster_;
+  RetireReplacedTargets();
+  bool awaitsTargets =
+    std::any_of(targets_.begin(), targets_.end(), [this](const auto& aEntry) {
+      return IsAwaited(aEntry.second);
     });
-  if (!allHeld && now < limit) {
+  if ((rosterUnknown_ || awaitsTargets) && now < limit) {
     WakeBy(limit);
     return;
   }
-  ready_ = true;
   for (auto& [id, target] : targets_) {
-    if (!target.held_) {
-      LogStateChange("target-never-answered", { { "target", id } });
+    if (IsAwaited(target)) {
+      LogStateChange("target-never-answered",
+                     { { "target", id }, { "vm", target.info_.vm_ } });
     }
   }
+  ready_ = true;
   LogStateChange("scheduler-ready",
                  { { "service", settings_.service_ },
                    { "fence", std::to_string(settings_.fence_) },
@@ -542,7 +591,7 @@
     }
   }
   for (const auto& [id, target] : targets_) {
-    if (!ready_ && !target.held_ && target.inRoster_) {
+    if (IsAwaited(target)) {
       // The roster names the target, but not its size.
       bool hasSize = target.info_.capacity_ != Resources();
       silent += hasSize ? target.info_.capacity_ : largest;
--- a/unittests/Node/ServiceLeaderTest.cpp
+++ b/unittests/Node/ServiceLeaderTest.cpp
@@ -20,10 +20,13 @@
     : base_(aBase)
   {
   }
-  void Hold(const TargetInfo&,
+  void Hold(const TargetInfo& aTarget,
             const HoldOrder&,
             std::function<void(HoldAnswer)> aOnEnd) override
   {
+    if (aTarget.id_ == kSilentTarget || aTarget.id_ == kOldSilentTarget) {
+      return;
+    }
     timers_.push_back(
       std::make_unique<Timer>(base_, [this, onEnd = std::move(aOnEnd)] {
         HoldAnswer answer;
@@ -51,6 +54,8 @@
   {
   }
 
+  static constexpr const char* kSilentTarget = "t9";
+  static constexpr const char* kOldSilentTarget = "t8";
   int starts_ = 0;
 
 private:
@@ -66,6 +71,7 @@
   CPPUNIT_TEST_SUITE(ServiceLeaderTest);
   CPPUNIT_TEST(AConfirmedLeaderStartsJobs);
   CPPUNIT_TEST(AuthorityIsReadAtEachDecision);
+  CPPUNIT_TEST(ANewLeaderReportsTheVmsOfTheTargetsThatItWaitsFor);
   CPPUNIT_TEST(JobsAreKnownWhileTheyAreFollowed);
   CPPUNIT_TEST(SlowDecisionsLeaveTimeForOrders);
   CPPUNIT_TEST(CancelMarksWithoutAJobAreDeletedAfterAWhile);
@@ -80,26 +86,11 @@
     store_ = std::make_unique<FakeStore>(base_);
     targets_ = std::make_unique<EmptyTargets>(base_);
     authority_ = Authority::Confirmed;
-    store_->Change(keys::Leader("s"), "vm1");
-    ServiceLeader::Options options;
-    options.service_ = "s";
-    options.fence_ = store_->revision_;
-    options.longestWatch_ = Millis(200);
-    options.endedJobRetention_ = kRetention;
-    options.deletionInterval_ = Millis(100);
-    leader_ = std::make_unique<ServiceLeader>(
-      ServiceLeader::Dependencies{ base_,
-                                   clock_,
-                                   wallClock_,
-                                   *store_,
-                                   *targets_,
-                                   nullptr,
-                                   [this] { return authority_; } },
-      options,
-      [] {});
+    StartLeader();
     TargetInfo target;
     target.id_ = "t1";
     target.service_ = "s";
+    target.vm_ = "v1";
     target.capacity_ = { 8000, 32768, 0 };
     leader_->RegisterTarget(target);
     RunUntil([this] {
@@ -132,6 +123,22 @@
     CPPUNIT_ASSERT_EQUAL(0, targets_->starts_);
   }
 
+  /// The pool manager tells a new leader which of them are gone. The roster of
+  /// an earlier version names no VMs.
+  void ANewLeaderReportsTheVmsOfTheTargetsThatItWaitsFor()
+  {
+    std::string roster = store_->items_.at(keys::Roster("s")).value_;
+    CPPUNIT_ASSERT(roster.find("v1") != std::string::npos);
+    std::string rows = R"([["t8","10.0.0.8:1"],["t9","10.0.0.9:1","v9"]])";
+    store_->Change(keys::Roster("s"), rows);
+    StartLeader();
+    RunUntil([this] { return leader_->IsLoaded(); });
+    auto unanswered = leader_->State().Report().unanswered_;
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), unanswered.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("t9"), unanswered[0].target_);
+    CPPUNIT_ASSERT_EQUAL(std::string("v9"), unanswered[0].vm_);
+  }
+
   void JobsAreKnownWhileTheyAreFollowed()
   {
     constexpr Millis kMaxAge{ 2000 };
@@ -197,6 +204,28 @@
   }
 
 private:
+  /// Makes a leader of its own fence, in place of an earlier one.
+  void StartLeader()
+  {
+    store_->Change(keys::Leader("s"), "vm1");
+    ServiceLeader::Options options;
+    options.service_ = "s";
+    options.fence_ = store_->revision_;
+    options.longestWatch_ = Millis(200);
+    options.endedJobRetention_ = kRetention;
+    options.deletionInterval_ = Millis(100);
+    leader_ = std::make_unique<ServiceLeader>(
+      ServiceLeader::Dependencies{ base_,
+                                   clock_,
+                                   wallClock_,
+                                   *store_,
+                                   *targets_,
+                                   nullptr,
+                                   [this] { return authority_; } },
+      options,
+      [] {});
+  }
+
   void AddJob()
   {
     JobRecord record;
--- a/unittests/Pools/PoolReportTest.cpp
+++ b/unittests/Pools/PoolReportTest.cpp
@@ -11,6 +11,7 @@
 {
   CPPUNIT_TEST_SUITE(PoolReportTest);
   CPPUNIT_TEST(AReportIsDecodedAsItWas);
+  CPPUNIT_TEST(AwaitedTargetsAreReportedWithTheirVms);
   CPPUNIT_TEST(ReportsOfEarlierVersionsAreDecoded);
   CPPUNIT_TEST_SUITE_END();
 
@@ -57,6 +58,18 @@
     }
   }
 
+  /// Without them the pool manager cannot tell a new leader which are gone.
+  void AwaitedTargetsAreReportedWithTheirVms()
+  {
+    PoolReport report;
+    report.unanswered_ = { { "t1", "v1" }, { "t2", "v2" } };
+    auto decoded = DecodeReport(EncodeReport(report));
+    CPPUNIT_ASSERT(decoded.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), decoded->unanswered_.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("t2"), decoded->unanswered_[1].target_);
+    CPPUNIT_ASSERT_EQUAL(std::string("v2"), decoded->unanswered_[1].vm_);
+  }
+
   /// They do not say whether the roster names a target, nor what is in time.
   void ReportsOfEarlierVersionsAreDecoded()
   {
--- a/unittests/Scheduling/SchedulerTest.cpp
+++ b/unittests/Scheduling/SchedulerTest.cpp
@@ -60,6 +60,9 @@
   CPPUNIT_TEST(ASpeculativeTaskSeenRunningAfterATakeOverWaits);
   CPPUNIT_TEST(ATargetIsReportedAsInTheRosterUntilASaveOmitsIt);
   CPPUNIT_TEST(AJobWithUnreadableProgressStartsNothing);
+  CPPUNIT_TEST(OldJobsDoNotWaitForTargetsWhoseVmsWereMoved);
+  CPPUNIT_TEST(OldJobsDoNotWaitForTargetsThatWereReplaced);
+  CPPUNIT_TEST(OldJobsWaitForTargetsThatAreListedAgain);
   CPPUNIT_TEST(OldJobsWaitIfTheRosterIsUnreadable);
   CPPUNIT_TEST_SUITE_END();
 
@@ -351,6 +354,55 @@
     CPPUNIT_ASSERT(SilenceFor("t2", Millis(6000)).empty());
   }
 
+  /// SHORT: the leader of a peak was lost, and its successor started nothing
+  /// for 5.2 s, as idle VMs had just been moved to another pool.
+  void OldJobsDoNotWaitForTargetsWhoseVmsWereMoved()
+  {
+    TakeOver();
+    AddJob(kFence - 1);
+    CPPUNIT_ASSERT(OrdersOf<TargetStart>(Step()).empty());
+    auto unanswered = scheduler_->Report().unanswered_;
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), unanswered.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("t2"), unanswered[0].target_);
+    CPPUNIT_ASSERT_EQUAL(std::string("v2"), unanswered[0].vm_);
+    std::vector<std::string> gone{ "t2" };
+    scheduler_->RetireTargets(gone);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), OrdersOf<TargetStart>(Step()).size());
+    CPPUNIT_ASSERT(scheduler_->Report().unanswered_.empty());
+  }
+
+  /// The same after maintenance or a crash: a VM runs one target at a time.
+  void OldJobsDoNotWaitForTargetsThatWereReplaced()
+  {
+    TakeOver();
+    AddJob(kFence - 1);
+    CPPUNIT_ASSERT(OrdersOf<TargetStart>(Step()).empty());
+    Register("t3", "v2");
+    // Its entry alone may be older than that of the silent target.
+    CPPUNIT_ASSERT(OrdersOf<TargetStart>(Step()).empty());
+    AnswerHold("t3", {});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), OrdersOf<TargetStart>(Step()).size());
+  }
+
+  /// Its VM is back, and the target started again under its id.
+  void OldJobsWaitForTargetsThatAreListedAgain()
+  {
+    TakeOver();
+    AddJob(kFence - 1);
+    TargetInfo other;
+    other.id_ = "t4";
+    std::vector<TargetInfo> roster{ other };
+    scheduler_->LoadRoster(roster);
+    std::vector<std::string> gone{ "t2" };
+    scheduler_->RetireTargets(gone);
+    Register("t2", "v2");
+    gone = { "t4" };
+    scheduler_->RetireTargets(gone);
+    CPPUNIT_ASSERT(OrdersOf<TargetStart>(Step()).empty());
+    AnswerHold("t2", {});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), OrdersOf<TargetStart>(Step()).size());
+  }
+
   void OldJobsWaitIfTheRosterIsUnreadable()
   {
     scheduler_->SetRosterUnknown();
@@ -1166,10 +1218,11 @@
 
   void AddJob(Revision aCreated) { scheduler_->AddJob(Record(), aCreated); }
 
-  void Register(const std::string& aId)
+  void Register(const std::string& aId, const std::string& aVm = "")
   {
     TargetInfo info;
     info.id_ = aId;
+    info.vm_ = aVm;
     info.service_ = "stitch";
     info.capacity_ = { 8000, 32768, 0 };
     info.labels_ = { "a", "r1" };
@@ -1230,6 +1283,7 @@
     std::vector<TargetInfo> roster(2);
     roster[0].id_ = "t1";
     roster[1].id_ = "t2";
+    roster[1].vm_ = "v2";
     scheduler_->LoadRoster(roster);
     Register("t1");
     Decide();
--- a/unittests/Scheduling/SchedulerWorld.cpp
+++ b/unittests/Scheduling/SchedulerWorld.cpp
@@ -23,9 +23,11 @@
     target.info_.capacity_ = { kTargetCpu, 32768, 0 };
     target.info_.labels_ = { "a", i % 2 == 0 ? "r1" : "r2" };
     target.info_.startedAt_ = 1000 + i;
+    target.info_.vm_ = "v" + std::to_string(i);
     target.clockRate_ = i % 2 == 0 ? 1.0 : 0.98;
     targets_.emplace(target.info_.id_, target);
   }
+  targetsCreated_ = kTargets;
   AddLeader(Authority::Doubtful);
 }
 
@@ -372,10 +374,22 @@
   restarted.info_ = target.info_;
   restarted.info_.startedAt_ += 100;
   restarted.clockRate_ = target.clockRate_;
-  // The crash breaks its connections.
+  BreakConnections(target.info_.id_);
+  clock_.Advance(kMinRestartTime + Millis(aPick));
+  EndDueRuns();
+  restarted.restartedAt_ = clock_.Now();
+  target = restarted;
+  if (aPick % 2 == 0) {
+    leaders_.back().scheduler_->RegisterTarget(
+      Listed(target.info_, mutant_).front());
+  }
+}
+
+void SchedulerWorld::BreakConnections(const std::string& aTarget)
+{
   std::vector<Reply> kept;
   for (Reply& reply : std::exchange(replies_, {})) {
-    if (reply.call_.target_ == target.info_.id_) {
+    if (reply.call_.target_ == aTarget) {
       ReturnFailure(reply.call_, OrderEnd::NoAnswer);
     } else {
       kept.push_back(std::move(reply));
@@ -384,7 +398,7 @@
   replies_ = std::move(kept);
   std::vector<Call> others;
   for (Call& call : std::exchange(calls_, {})) {
-    if (call.target_ == target.info_.id_) {
+    if (call.target_ == aTarget) {
       ReturnFailure(call, OrderEnd::NoAnswer);
       lostCalls_.push_back(std::move(call));
     } else {
@@ -392,14 +406,48 @@
     }
   }
   calls_ = std::move(others);
+}
+
+void SchedulerWorld::ReplaceTarget(unsigned aPick)
+{
+  auto old = std::next(targets_.begin(),
+                       static_cast<std::ptrdiff_t>(aPick % targets_.size()));
+  std::string id = old->first;
+  FakeTarget replacement;
+  replacement.info_ = old->second.info_;
+  replacement.clockRate_ = old->second.clockRate_;
+  std::string number = std::to_string(targetsCreated_++);
+  replacement.info_.id_ = "t" + number;
+  replacement.info_.startedAt_ += 100;
+  bool isOnSameVm = aPick % 2 == 0;
+  if (!isOnSameVm) {
+    replacement.info_.vm_ = "v" + number;
+  }
+  BreakConnections(id);
+  targets_.erase(old);
+  Scheduler& scheduler = *leaders_.back().scheduler_;
+  bool isDelisted = aPick % 3 == 0;
+  if (isDelisted) {
+    scheduler.UnregisterTarget(id);
+  }
   clock_.Advance(kMinRestartTime + Millis(aPick));
   EndDueRuns();
-  restarted.restartedAt_ = clock_.Now();
-  target = restarted;
-  if (aPick % 2 == 0) {
-    leaders_.back().scheduler_->RegisterTarget(
-      Listed(target.info_, mutant_).front());
+  replacement.restartedAt_ = clock_.Now();
+  scheduler.RegisterTarget(Listed(replacement.info_, mutant_).front());
+  targets_.emplace(replacement.info_.id_, std::move(replacement));
+}
+
+void SchedulerWorld::RetireTargets(unsigned)
+{
+  Scheduler& scheduler = *leaders_.back().scheduler_;
+  std::vector<std::string> gone;
+  for (const RosterTarget& target : scheduler.Report().unanswered_) {
+    if (targets_.count(target.target_) == 0 ||
+        mutant_ == SchedulerMutant::LivingTargetsRetired) {
+      gone.push_back(target.target_);
+    }
   }
+  scheduler.RetireTargets(gone);
 }
 
 void SchedulerWorld::TakeOver(unsigned aPick)
@@ -418,8 +466,17 @@
 
 SchedulerWorld::Reply SchedulerWorld::Execute(const Call& aCall)
 {
-  FakeTarget& target = targets_.at(aCall.target_);
   EndDueRuns();
+  auto found = targets_.find(aCall.target_);
+  if (found == targets_.end()) {
+    if (std::holds_alternative<HoldOrder>(aCall.order_)) {
+      HoldAnswer answer;
+      answer.end_ = OrderEnd::NotSent;
+      return { aCall, answer };
+    }
+    return { aCall, OrderAnswer{ OrderEnd::NotSent, {} } };
+  }
+  FakeTarget& target = found->second;
   // A connection leads to one incarnation.
   auto isForOther = [&](std::int64_t aStartedAt) {
     return aStartedAt != target.info_.startedAt_ &&
--- a/unittests/Scheduling/SchedulerWorld.h
+++ b/unittests/Scheduling/SchedulerWorld.h
@@ -18,13 +18,14 @@
 enum class SchedulerMutant
 {
   None,
-  SavesAreLost,       ///< progress is reported as saved but is not
-  FencesIgnored,      ///< targets accept orders with lower fences
-  RunsHidden,         ///< targets do not list their runs
-  CapacityDoubled,    ///< the registry lists twice the capacity
-  EndsInvented,       ///< targets list running runs as done
-  FailuresForgotten,  ///< a successor loses the failed runs
-  IncarnationsIgnored ///< targets take what was meant for an earlier life
+  SavesAreLost,        ///< progress is reported as saved but is not
+  FencesIgnored,       ///< targets accept orders with lower fences
+  RunsHidden,          ///< targets do not list their runs
+  CapacityDoubled,     ///< the registry lists twice the capacity
+  EndsInvented,        ///< targets list running runs as done
+  FailuresForgotten,   ///< a successor loses the failed runs
+  IncarnationsIgnored, ///< targets take what was meant for an earlier life
+  LivingTargetsRetired ///< targets that still exist are said to be gone
 };
 
 class SchedulerWorld
@@ -54,6 +55,10 @@
   void TakeOver(unsigned aPick);
   void FailSave(unsigned aPick);
   void Vacate(unsigned aPick);
+  /// Replaces a target for good, by one on the same or on another VM.
+  void ReplaceTarget(unsigned aPick);
+  /// Tells the last scheduler which of the targets that it waits for are gone.
+  void RetireTargets(unsigned aPick);
 
   /// Stops all failures and runs until all jobs have ended; a job that does not
   /// end is a violation.
@@ -121,12 +126,15 @@
   /// in calls_.
   void Run(Scheduler& aScheduler, std::uint64_t aId);
   void Save(Scheduler& aScheduler, const SaveProgress& aSave);
+  /// Carries out a call; it is not sent if its target no longer exists.
   Reply Execute(const Call& aCall);
   HoldAnswer ExecuteHold(FakeTarget& aTarget, const HoldOrder& aOrder);
   OrderAnswer ExecuteStart(FakeTarget& aTarget, const StartOrder& aOrder);
   OrderAnswer ExecuteStop(FakeTarget& aTarget, const StopOrder& aOrder);
   void Return(const Reply& aReply);
   void ReturnFailure(const Call& aCall, OrderEnd aEnd);
+  /// Reports all calls to a target as unanswered; orders may be late.
+  void BreakConnections(const std::string& aTarget);
   void CheckStart(FakeTarget& aTarget, const StartOrder& aOrder);
   void CheckShownStates();
   void End(FakeTarget& aTarget, const RunKey& aKey, RunEnd aRunEnd);
@@ -149,6 +157,7 @@
   std::vector<Reply> replies_;  ///< not received yet
   int savesToFail_ = 0;
   std::uint64_t submitted_ = 0;
+  int targetsCreated_ = 0;
   std::string violation_;
 };
 
