--- a/lib/Node/PoolManager.cpp
+++ b/lib/Node/PoolManager.cpp
@@ -92,6 +92,9 @@
   auto read = [this](const Json& aJson) {
     Orders orders;
     for (const auto& [vm, row] : aJson.at("ordered").items()) {
+      orders[vm] = { row.at(0),
+                     IntegerOf(row.at(1), kAnyCount),
+                     dependencies_.clock_.Now() };
       // Earlier versions leave out the pools of moves.
       auto pools = row.size() > 2 ? row.at(2).get<std::set<std::string>>()
                                   : std::set<std::string>{ "" };
@@ -99,11 +102,6 @@
         vmPools_.NoteMove(vm, pool);
       }
     }
-    for (const auto& [vm, row] : aJson.at("ordered").items()) {
-      orders[vm] = { row.at(0),
-                     IntegerOf(row.at(1), kAnyCount),
-                     dependencies_.clock_.Now() };
-    }
     planner_.LoadWaves(aJson.at("waves").get<std::string>());
     return orders;
   };
