--- a/unittests/Node/MovedVmsTest.cpp
+++ b/unittests/Node/MovedVmsTest.cpp
@@ -80,8 +80,7 @@
     : base_(aBase)
   {
   }
-  void List(
-    std::function<void(Result<std::vector<PoolVm>>)> aOnList) override
+  void List(std::function<void(Result<std::vector<PoolVm>>)> aOnList) override
   {
     timers_.push_back(
       std::make_unique<Timer>(base_, [this, onList = std::move(aOnList)] {
